Thin path from a caller to an endpoint and back, on real sockets

Cause: the repository was empty; everything else needs a path to stand on.

Limits are a fixed split over the entries, the naive baseline to measure against.

Conclusion: the seams (ChangeLog, Rights, PeerNetwork, JobObserver, Child) carry the path; each part can now be replaced behind its own.

--- /dev/null
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/Main.kt
@@ -0,0 +1,12 @@
+package org.verbenagauge.standin
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+
+/** Entry point of the stand-ins. */
+@OptIn(ExperimentalCli::class)
+public fun main(args: Array<String>) {
+    val parser = ArgParser("verbenagauge-standin")
+    parser.subcommands(PlatformCommand(), EndpointsCommand(), SeedCommand(), CallersCommand())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+}
--- /dev/null
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
@@ -0,0 +1,163 @@
+package org.verbenagauge.standin
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.request.receive
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import io.ktor.server.routing.routing
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.builtins.serializer
+import kotlinx.serialization.json.Json
+import org.verbenagauge.entry.state.ActRequest
+import org.verbenagauge.entry.state.InstanceAction
+import org.verbenagauge.entry.state.InstancePhase
+import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.ReadRequest
+import org.verbenagauge.entry.state.Row
+import org.verbenagauge.entry.state.Transaction
+import org.verbenagauge.entry.state.WriteOutcome
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentSkipListMap
+
+/** Stand-in for the platform: table service, object store and instance list over HTTP, all in memory. */
+public class PlatformStandIn {
+    /** Rows of the table service. */
+    public val table: MemoryTable = MemoryTable()
+
+    private val objects = ConcurrentSkipListMap<String, ByteArray>()
+    private val instances = ConcurrentHashMap<String, ListedInstance>()
+
+    /** While true, every call is answered with 503 and has no effect. */
+    @Volatile public var down: Boolean = false
+
+    /** Adds or replaces an instance of the list. */
+    public fun put(instance: ListedInstance) {
+        instances[instance.id] = instance
+    }
+
+    /** Creates the HTTP server; port 0 takes a free port. */
+    public fun server(
+        host: String,
+        port: Int,
+    ): EmbeddedServer<*, *> = embeddedServer(CIO, port = port, host = host) { routes() }
+
+    private fun Application.routes() {
+        routing {
+            tableRoutes()
+            objectRoutes()
+            instanceRoutes()
+        }
+    }
+
+    private fun Route.tableRoutes() {
+        post("/v1/table/read") {
+            call.whenUp {
+                val request = json.decodeFromString(ReadRequest.serializer(), call.receiveText())
+                call.respondRows(table.read(request.keys))
+            }
+        }
+        get("/v1/table/scan") {
+            call.whenUp {
+                val limit = call.query("limit").toInt()
+                call.respondRows(table.scan(call.query("prefix"), call.query("after"), limit))
+            }
+        }
+        post("/v1/table/transact") {
+            call.whenUp {
+                val transaction = json.decodeFromString(Transaction.serializer(), call.receiveText())
+                when (val outcome = table.transact(transaction)) {
+                    is WriteOutcome.Conflict -> call.respondRows(outcome.rows, HttpStatusCode.Conflict)
+                    else -> call.respond(HttpStatusCode.OK)
+                }
+            }
+        }
+    }
+
+    private fun Route.objectRoutes() {
+        get("/v1/objects") {
+            call.whenUp {
+                val prefix = call.query("prefix")
+                val names =
+                    objects
+                        .tailMap(maxOf(prefix, call.query("after")), true)
+                        .keys
+                        .filter { it > call.query("after") && it.startsWith(prefix) }
+                        .take(call.query("limit").toInt())
+                call.respondJson(json.encodeToString(ListSerializer(String.serializer()), names))
+            }
+        }
+        get("/v1/objects/{name...}") {
+            call.whenUp {
+                val content = objects[call.objectName()]
+                if (content == null) call.respond(HttpStatusCode.NotFound) else call.respondBytes(content)
+            }
+        }
+        put("/v1/objects/{name...}") {
+            call.whenUp {
+                val previous = objects.putIfAbsent(call.objectName(), call.receive<ByteArray>())
+                call.respond(if (previous == null) HttpStatusCode.Created else HttpStatusCode.Conflict)
+            }
+        }
+    }
+
+    private fun Route.instanceRoutes() {
+        get("/v1/instances") {
+            call.whenUp {
+                val listed = instances.values.sortedBy { it.id }
+                call.respondJson(json.encodeToString(ListSerializer(ListedInstance.serializer()), listed))
+            }
+        }
+        post("/v1/instances/{id}/actions") {
+            call.whenUp {
+                val request = json.decodeFromString(ActRequest.serializer(), call.receiveText())
+                val id = call.parameters["id"].orEmpty()
+                val known = instances.computeIfPresent(id) { _, instance -> act(instance, request.action) }
+                call.respond(if (known == null) HttpStatusCode.NotFound else HttpStatusCode.OK)
+            }
+        }
+    }
+
+    private fun act(
+        instance: ListedInstance,
+        action: InstanceAction,
+    ): ListedInstance =
+        when (action) {
+            InstanceAction.DRAIN -> instance.copy(phase = InstancePhase.LEAVING)
+            InstanceAction.REBOOT, InstanceAction.UNDRAIN -> instance.copy(phase = InstancePhase.LIVE)
+            InstanceAction.CHECKPOINT, InstanceAction.STOP_TASKS -> instance
+        }
+
+    private suspend fun ApplicationCall.whenUp(body: suspend () -> Unit) {
+        if (down) respond(HttpStatusCode.ServiceUnavailable) else body()
+    }
+
+    private fun ApplicationCall.query(name: String): String = request.queryParameters[name].orEmpty()
+
+    private fun ApplicationCall.objectName(): String = parameters.getAll("name").orEmpty().joinToString("/")
+
+    private suspend fun ApplicationCall.respondRows(
+        rows: List<Row>,
+        status: HttpStatusCode = HttpStatusCode.OK,
+    ) = respondJson(json.encodeToString(ListSerializer(Row.serializer()), rows), status)
+
+    private suspend fun ApplicationCall.respondJson(
+        text: String,
+        status: HttpStatusCode = HttpStatusCode.OK,
+    ) = respondText(text, ContentType.Application.Json, status)
+
+    private companion object {
+        val json = Json { encodeDefaults = true }
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -0,0 +1,176 @@
+package org.verbenagauge.entry
+
+import io.ktor.server.engine.EmbeddedServer
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.delay
+import org.verbenagauge.entry.admission.AdmissionTicker
+import org.verbenagauge.entry.admission.JobService
+import org.verbenagauge.entry.caller.callerListener
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.clock.systemClock
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.operator.Health
+import org.verbenagauge.entry.operator.operatorListener
+import org.verbenagauge.entry.placement.EndpointClientLimits
+import org.verbenagauge.entry.placement.endpointsByPool
+import org.verbenagauge.entry.placement.httpEndpointClient
+import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.rights.SplitRights
+import org.verbenagauge.entry.rights.fixedSplit
+import org.verbenagauge.entry.settings.EntrySettings
+import org.verbenagauge.entry.state.ControlState
+import org.verbenagauge.entry.state.FleetView
+import org.verbenagauge.entry.state.Platform
+import org.verbenagauge.entry.state.StateFollower
+import org.verbenagauge.entry.state.changeLog
+import org.verbenagauge.entry.state.httpPlatform
+
+private const val STOP_POLL_MILLIS = 20L
+private const val LISTENER_GRACE_MILLIS = 500L
+private const val LISTENER_TIMEOUT_MILLIS = 2_000L
+private const val CONNECTIONS_PER_ENDPOINT = 64
+
+/** Root supervisor of one entry instance. */
+public class Entry internal constructor(
+    private val settings: EntrySettings,
+    platform: Platform,
+    private val clock: Clock,
+) {
+    private val log = EventLog(settings.entry.id)
+    private val supervisor = Supervisor(log)
+    private val changes = changeLog(platform.table, clock)
+    private val registry = PrometheusRegistry()
+    private val answers =
+        Counter
+            .builder()
+            .name("verbenagauge_answers_total")
+            .help("Answers to callers by verdict and reason")
+            .labelNames("verdict", "reason")
+            .register(registry)
+
+    @Volatile private var stopping = false
+
+    private val follower =
+        StateFollower(
+            changes = changes,
+            instanceService = platform.instances,
+            clock = clock,
+            log = log,
+            pollMillis = settings.platform.pollMillis,
+            staleAfterMillis = settings.limits.staleAfterMillis,
+            publish = ::publish,
+        )
+
+    private val jobs =
+        JobService(
+            clock = clock,
+            endpointClient =
+                httpEndpointClient(
+                    EndpointClientLimits(
+                        connectTimeoutMillis = settings.limits.connectTimeoutMillis,
+                        maxAnswerBytes = settings.limits.maxAnswerBytes,
+                        maxConnectionsPerEndpoint = CONNECTIONS_PER_ENDPOINT,
+                    ),
+                ),
+            rights = SplitRights(::partOf),
+            freshness = follower,
+            observer = { answers.labelValues(it.reason.verdict.headerValue, it.reason.code).inc() },
+            maxJobs = settings.limits.maxJobs,
+            maxQueuedPerPool = settings.limits.maxQueuedPerPool,
+        )
+
+    private val callers: EmbeddedServer<*, *> =
+        callerListener(settings.caller.host, settings.caller.port, settings.limits.maxBodyBytes, jobs)
+
+    private val operators: EmbeddedServer<*, *> =
+        operatorListener(settings.operator.host, settings.operator.port, registry, ::health)
+
+    /** Starts the listeners and the children of this supervisor. */
+    public suspend fun start() {
+        operators.start(wait = false)
+        callers.start(wait = false)
+        supervisor.start(follower)
+        supervisor.start(AdmissionTicker(jobs))
+        log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
+    }
+
+    /** Port of the caller listener. */
+    public suspend fun callerPort(): Int =
+        callers.engine
+            .resolvedConnectors()
+            .first()
+            .port
+
+    /** Port of the operator listener. */
+    public suspend fun operatorPort(): Int =
+        operators.engine
+            .resolvedConnectors()
+            .first()
+            .port
+
+    /** Waits until this entry has read the configuration for the first time. */
+    public suspend fun awaitReady(): Unit = follower.awaitReady()
+
+    /** Health as the balancer sees it. */
+    public fun health(): Health =
+        when {
+            stopping -> Health.STOPPING
+            !follower.isReady() -> Health.STARTING
+            !follower.isFresh() -> Health.STALE
+            else -> Health.READY
+        }
+
+    /** Stops gracefully: refuses new requests, waits for the held ones, then closes the listeners. */
+    public suspend fun stop() {
+        stopping = true
+        log.write(Event.ENTRY_STOPPING, "entry '${settings.entry.id}' stops with ${jobs.heldCount} requests held")
+        jobs.stopAccepting()
+        val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
+        while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
+        callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
+        operators.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
+        supervisor.stop()
+        log.write(Event.ENTRY_STOPPED, "entry '${settings.entry.id}' has stopped")
+    }
+
+    private fun publish(view: FleetView) {
+        jobs.update(view.control.configuration, endpointsByPool(view))
+    }
+
+    private fun partOf(resource: Resource): Int {
+        val state = changes.state.value
+        val limit = limitOf(resource, state)
+        val index = (settings.entry.index + resource.hashCode()).mod(settings.entry.count)
+        return fixedSplit(limit, index, settings.entry.count)
+    }
+
+    private fun limitOf(
+        resource: Resource,
+        state: ControlState,
+    ): Int =
+        when (resource) {
+            is Resource.Team ->
+                state.configuration.teams
+                    .firstOrNull { it.id == resource.teamId }
+                    ?.maxRunning ?: Int.MAX_VALUE
+            is Resource.Slot -> {
+                val poolId = state.fleet.poolIdByInstance[resource.instanceId]
+                state.configuration.pools
+                    .firstOrNull { it.id == poolId }
+                    ?.slotsPerWorker ?: 0
+            }
+        }
+}
+
+/** Creates an entry instance whose platform is reached over HTTP. */
+public fun entry(settings: EntrySettings): Entry =
+    Entry(settings, httpPlatform(settings.platform.baseUrl, settings.platform.timeoutMillis), systemClock())
+
+/** Creates an entry instance on [platform] and [clock]. */
+public fun entry(
+    settings: EntrySettings,
+    platform: Platform,
+    clock: Clock,
+): Entry = Entry(settings, platform, clock)
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
@@ -0,0 +1,74 @@
+package org.verbenagauge.entry
+
+/**
+ * Stable reason for a verdict.
+ *
+ * @property code value of the reason header; never changes once released.
+ * @property httpStatus status code of the answer to the caller.
+ * @property verdict verdict that this reason always carries.
+ * @property text sentence that states what is wrong and what to do.
+ */
+public enum class Reason(
+    public val code: String,
+    public val httpStatus: Int,
+    public val verdict: Verdict,
+    public val text: String,
+) {
+    SERVED("served", 200, Verdict.RAN, "The endpoint answered."),
+    BODY_TOO_LARGE("body-too-large", 413, Verdict.NOT_RUN, "The body exceeds the limit; send a smaller one."),
+    UNKNOWN_QUEUE("unknown-queue", 404, Verdict.NOT_RUN, "The queue does not exist; check its name."),
+    KEY_MISSING("key-missing", 401, Verdict.NOT_RUN, "The queue needs a key; send 'Authorization: Bearer KEY'."),
+    KEY_MALFORMED("key-malformed", 401, Verdict.NOT_RUN, "The Authorization header must read 'Bearer KEY'."),
+    KEY_UNKNOWN("key-unknown", 401, Verdict.NOT_RUN, "The key is not valid; ask an operator for a new one."),
+    QUEUE_FORBIDDEN("queue-forbidden", 403, Verdict.NOT_RUN, "The team of this key may not use the queue."),
+    DEADLINE_MALFORMED(
+        "deadline-malformed",
+        400,
+        Verdict.NOT_RUN,
+        "The deadline header must be a whole number of milliseconds above 0.",
+    ),
+    DEADLINE_EXCEEDED(
+        "deadline-exceeded",
+        504,
+        Verdict.NOT_RUN,
+        "The request waited until its deadline without being started; send it again with a later deadline.",
+    ),
+    DEADLINE_UNREACHABLE(
+        "deadline-unreachable",
+        503,
+        Verdict.NOT_RUN,
+        "The request cannot be started before its deadline; send it again later.",
+    ),
+    METHOD_NOT_ALLOWED("method-not-allowed", 405, Verdict.NOT_RUN, "Jobs are submitted with POST."),
+    QUEUE_FULL("queue-full", 503, Verdict.NOT_RUN, "The queue is full; send the request again later."),
+    ENTRY_FULL("entry-full", 503, Verdict.NOT_RUN, "The entry instance holds too many requests; send it again later."),
+    ENTRY_STOPPING("entry-stopping", 503, Verdict.NOT_RUN, "The entry instance is stopping; send the request again."),
+    ENTRY_STALE(
+        "entry-stale",
+        503,
+        Verdict.NOT_RUN,
+        "The entry instance cannot tell whether its configuration is in force; send the request again.",
+    ),
+    NO_ENDPOINT("no-endpoint", 503, Verdict.NOT_RUN, "No endpoint of the pool can take the request; send it later."),
+    CALLER_CANCELLED("caller-cancelled", 499, Verdict.NOT_RUN, "The caller left before the request was started."),
+    CONNECT_FAILED("connect-failed", 503, Verdict.NOT_RUN, "No connection to an endpoint could be opened."),
+    CONNECTION_LOST(
+        "connection-lost",
+        502,
+        Verdict.MAY_HAVE_RUN,
+        "The connection to the endpoint was lost after the request was sent; check before sending it again.",
+    ),
+    ANSWER_TIMEOUT(
+        "answer-timeout",
+        504,
+        Verdict.MAY_HAVE_RUN,
+        "The endpoint did not answer in time; check before sending the request again.",
+    ),
+    ANSWER_TOO_LARGE("answer-too-large", 502, Verdict.RAN, "The answer of the endpoint exceeds the limit."),
+    INTERNAL_ERROR(
+        "internal-error",
+        500,
+        Verdict.MAY_HAVE_RUN,
+        "The entry instance failed; check before sending the request again.",
+    ),
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/caller/CallerListener.kt
@@ -0,0 +1,157 @@
+package org.verbenagauge.entry.caller
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.readRemaining
+import kotlinx.io.readByteArray
+import org.verbenagauge.entry.Job
+import org.verbenagauge.entry.JobAnswer
+import org.verbenagauge.entry.JobHandler
+import org.verbenagauge.entry.Reason
+import java.util.UUID
+
+private const val MILLIS_PER_SECOND = 1_000L
+
+/** Names of the headers that callers see. */
+public object CallerHeaders {
+    /** Verdict of the answer: ran, not-run or may-have-run. */
+    public const val VERDICT: String = "Verbenagauge-Verdict"
+
+    /** Reason code of the answer. */
+    public const val REASON: String = "Verbenagauge-Reason"
+
+    /** Identifies the request. */
+    public const val REQUEST_ID: String = "Verbenagauge-Request-Id"
+
+    /** Longest wait for the start in milliseconds, set by the caller. */
+    public const val DEADLINE_MILLIS: String = "Verbenagauge-Deadline-Millis"
+
+    /** Names a job across retries, set by the caller. */
+    public const val IDEMPOTENCY_KEY: String = "Idempotency-Key"
+}
+
+/**
+ * Creates the HTTP listener for callers; port 0 takes a free port.
+ *
+ * @param maxBodyBytes largest body of a request.
+ */
+public fun callerListener(
+    host: String,
+    port: Int,
+    maxBodyBytes: Long,
+    handler: JobHandler,
+): EmbeddedServer<*, *> =
+    embeddedServer(Netty, port = port, host = host) {
+        callerRoutes(maxBodyBytes, handler)
+    }
+
+/** Installs the routes for callers. */
+public fun Application.callerRoutes(
+    maxBodyBytes: Long,
+    handler: JobHandler,
+) {
+    val reader = JobReader(maxBodyBytes)
+    routing {
+        route("/v1/queues/{queue}/jobs") {
+            post {
+                val answer =
+                    when (val read = reader.read(call)) {
+                        is JobRead.Refused -> read.answer
+                        is JobRead.Accepted -> handler.handle(read.job)
+                    }
+                call.respondAnswer(answer, reader.requestId(call))
+            }
+            handle { call.respondAnswer(JobAnswer(Reason.METHOD_NOT_ALLOWED), reader.requestId(call)) }
+        }
+    }
+}
+
+internal sealed interface JobRead {
+    class Accepted(
+        val job: Job,
+    ) : JobRead
+
+    class Refused(
+        val answer: JobAnswer,
+    ) : JobRead
+}
+
+internal class JobReader(
+    private val maxBodyBytes: Long,
+) {
+    fun requestId(call: ApplicationCall): String {
+        val known = call.attributes.getOrNull(requestIdAttribute)
+        if (known != null) return known
+        return UUID.randomUUID().toString().also { call.attributes.put(requestIdAttribute, it) }
+    }
+
+    suspend fun read(call: ApplicationCall): JobRead {
+        val headers = call.request.headers
+        val rawDeadline = headers[CallerHeaders.DEADLINE_MILLIS]
+        val deadlineMillis = rawDeadline?.toLongOrNull()
+        if (rawDeadline != null && (deadlineMillis == null || deadlineMillis <= 0)) {
+            return JobRead.Refused(JobAnswer(Reason.DEADLINE_MALFORMED, detail = "'${rawDeadline.take(DETAIL_CHARS)}'"))
+        }
+        val body =
+            readBody(call) ?: return JobRead.Refused(JobAnswer(Reason.BODY_TOO_LARGE, detail = "$maxBodyBytes bytes"))
+        return JobRead.Accepted(
+            Job(
+                requestId = requestId(call),
+                queueId = call.parameters["queue"].orEmpty(),
+                authorization = headers[HttpHeaders.Authorization],
+                idempotencyKey = headers[CallerHeaders.IDEMPOTENCY_KEY],
+                deadlineMillis = deadlineMillis,
+                contentType = headers[HttpHeaders.ContentType],
+                body = body,
+            ),
+        )
+    }
+
+    private suspend fun readBody(call: ApplicationCall): ByteArray? {
+        val declared = call.request.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        if (declared != null && declared > maxBodyBytes) return null
+        val body = call.receiveChannel().readRemaining(maxBodyBytes + 1).readByteArray()
+        return body.takeIf { it.size <= maxBodyBytes }
+    }
+
+    private companion object {
+        const val DETAIL_CHARS = 40
+        val requestIdAttribute = io.ktor.util.AttributeKey<String>("request-id")
+    }
+}
+
+private suspend fun ApplicationCall.respondAnswer(
+    answer: JobAnswer,
+    requestId: String,
+) {
+    response.header(CallerHeaders.VERDICT, answer.verdict.headerValue)
+    response.header(CallerHeaders.REASON, answer.reason.code)
+    response.header(CallerHeaders.REQUEST_ID, requestId)
+    answer.retryAfterMillis?.let { response.header(HttpHeaders.RetryAfter, ceilSeconds(it)) }
+    val endpointAnswer = answer.endpointAnswer
+    if (endpointAnswer == null) {
+        val detail = answer.detail?.let { " ($it)" }.orEmpty()
+        respondText(answer.reason.text + detail + "\n", status = HttpStatusCode.fromValue(answer.reason.httpStatus))
+    } else {
+        respondBytes(
+            bytes = endpointAnswer.body,
+            contentType = endpointAnswer.contentType?.let(ContentType::parse),
+            status = HttpStatusCode.fromValue(endpointAnswer.status),
+        )
+    }
+}
+
+private fun ceilSeconds(millis: Long): Long = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -0,0 +1,48 @@
+package org.verbenagauge.entry.logging
+
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.ThreadContext
+
+/**
+ * Numbered log event; the catalogue is docs/EVENTS.md.
+ *
+ * @property number stable number of the event.
+ * @property level level of the event.
+ */
+public enum class Event(
+    public val number: Int,
+    public val level: Level,
+) {
+    ENTRY_STARTED(1001, Level.INFO),
+    ENTRY_STOPPING(1002, Level.INFO),
+    ENTRY_STOPPED(1003, Level.INFO),
+    SETTINGS_INVALID(1004, Level.ERROR),
+    CHILD_RESTARTED(1005, Level.ERROR),
+    CONFIGURATION_IN_FORCE(2001, Level.INFO),
+    PLATFORM_UNAVAILABLE(2002, Level.WARN),
+    PLATFORM_AVAILABLE(2003, Level.INFO),
+}
+
+/** Writes numbered events as structured JSON. */
+public class EventLog(
+    private val entryId: String,
+) {
+    private val logger = LogManager.getLogger("verbenagauge")
+
+    /** Writes [event] with a sentence that names the thing it concerns. */
+    public fun write(
+        event: Event,
+        message: String,
+    ) {
+        if (!logger.isEnabled(event.level)) return
+        ThreadContext.put("event", event.number.toString())
+        ThreadContext.put("name", event.name)
+        ThreadContext.put("entry", entryId)
+        try {
+            logger.log(event.level, message)
+        } finally {
+            ThreadContext.clearMap()
+        }
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/OperatorListener.kt
@@ -0,0 +1,63 @@
+package org.verbenagauge.entry.operator
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Health of an entry instance as the balancer sees it. */
+public enum class Health(
+    public val text: String,
+) {
+    READY("ready"),
+    STARTING("starting"),
+    STALE("stale"),
+    STOPPING("stopping"),
+}
+
+/** Creates the HTTP listener for operators; port 0 takes a free port. */
+public fun operatorListener(
+    host: String,
+    port: Int,
+    registry: PrometheusRegistry,
+    health: () -> Health,
+): EmbeddedServer<*, *> =
+    embeddedServer(Netty, port = port, host = host) {
+        healthRoutes(health)
+        metricsRoutes(registry)
+    }
+
+/** Installs the health address: 200 when the balancer should send requests here, else 503. */
+public fun Application.healthRoutes(health: () -> Health) {
+    routing {
+        get("/health") {
+            val current = health()
+            val status = if (current == Health.READY) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+            call.respondText(current.text + "\n", status = status)
+        }
+    }
+}
+
+/** Installs the metrics address in the Prometheus text format. */
+public fun Application.metricsRoutes(registry: PrometheusRegistry) {
+    val writer = PrometheusTextFormatWriter.builder().build()
+    routing {
+        get("/metrics") {
+            val buffer = ByteArrayOutputStream()
+            writer.write(buffer, registry.scrape())
+            call.respondBytes(
+                buffer.toByteArray(),
+                io.ktor.http.ContentType
+                    .parse(writer.contentType),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerNetwork.kt
@@ -0,0 +1,46 @@
+package org.verbenagauge.entry.peers
+
+import kotlinx.serialization.Serializable
+
+/** Message between two entry instances; one file for each family of messages. */
+@Serializable
+public sealed interface PeerMessage
+
+/**
+ * Identity of one run of an entry instance; a restart makes a new incarnation.
+ *
+ * @property entryId name of the entry instance.
+ * @property incarnation drawn at random at the start of the process.
+ */
+@Serializable
+public data class PeerId(
+    val entryId: String,
+    val incarnation: Long,
+)
+
+/** Receives messages of peers; must return at once. */
+public fun interface PeerListener {
+    /** Handles [message] of [from]; messages can be lost, and arrive late, twice or in another order. */
+    public fun received(
+        from: PeerId,
+        message: PeerMessage,
+    )
+}
+
+/** Sends messages to other entry instances, without any promise of delivery. */
+public interface PeerNetwork {
+    /** Identity of this entry instance. */
+    public val localId: PeerId
+
+    /** Peers that answered lately. */
+    public fun reachable(): List<PeerId>
+
+    /** Queues [message] for [to]; false when it was dropped at once. */
+    public fun send(
+        to: PeerId,
+        message: PeerMessage,
+    ): Boolean
+
+    /** Hands all further messages to [listener]. */
+    public fun subscribe(listener: PeerListener)
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/Rights.kt
@@ -0,0 +1,59 @@
+package org.verbenagauge.entry.rights
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Something of which only a limited number may be in use at once over the fleet. */
+@Serializable
+public sealed interface Resource {
+    /** Running requests of the team [teamId]; the limit is the team's upper limit. */
+    @Serializable
+    @SerialName("team")
+    public data class Team(
+        val teamId: String,
+    ) : Resource
+
+    /** Slots of the worker [instanceId]; the limit is the pool's slots per worker. */
+    @Serializable
+    @SerialName("slot")
+    public data class Slot(
+        val instanceId: String,
+    ) : Resource
+}
+
+/**
+ * Rights of this entry instance to use resources. The rights of all entries for one resource together
+ * never exceed its limit. All functions may be called from any thread and return at once.
+ */
+public interface Rights {
+    /** Rights of [resource] that are free now. */
+    public fun free(resource: Resource): Int
+
+    /** Takes one right of [resource]; false when none is free. */
+    public fun tryTake(resource: Resource): Boolean
+
+    /** Gives one right of [resource] back, once the request that held it cannot be running any more. */
+    public fun release(resource: Resource)
+
+    /** Reports that [waiting] requests of [teamId] wait for [poolId] here, so that rights can move to demand. */
+    public fun reportDemand(
+        poolId: String,
+        teamId: String,
+        waiting: Int,
+    )
+
+    /** Calls [listener] after rights have become free other than by [release]. */
+    public fun onGained(listener: () -> Unit)
+}
+
+/** Requests that other entries have started, for shares that count over the fleet. */
+public fun interface FleetService {
+    /** Requests of [teamId] that other entries have started in [poolId], as far as they have told. */
+    public fun startedElsewhere(
+        poolId: String,
+        teamId: String,
+    ): Long
+}
+
+/** A view in which no other entry has started anything. */
+public val noFleetService: FleetService = FleetService { _, _ -> 0 }
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
@@ -0,0 +1,69 @@
+package org.verbenagauge.entry.settings
+
+import com.akuleshov7.ktoml.Toml
+import com.akuleshov7.ktoml.TomlInputConfig
+import com.akuleshov7.ktoml.exceptions.TomlDecodingException
+import kotlinx.serialization.SerializationException
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+private const val MAX_PORT = 65_535
+
+/** Reads and checks the settings in [file]. */
+public fun readSettings(file: Path): SettingsOutcome =
+    try {
+        parseSettings(Files.readString(file), file.toString())
+    } catch (e: IOException) {
+        SettingsOutcome.Invalid("$file: cannot be read: ${e.message}")
+    }
+
+/** Reads and checks settings from [text]; [fileName] is used in messages. */
+public fun parseSettings(
+    text: String,
+    fileName: String,
+): SettingsOutcome {
+    val settings =
+        try {
+            toml.decodeFromString(EntrySettings.serializer(), text)
+        } catch (e: TomlDecodingException) {
+            return SettingsOutcome.Invalid("$fileName: ${e.message}")
+        } catch (e: SerializationException) {
+            return SettingsOutcome.Invalid("$fileName: ${e.message}")
+        } catch (e: IllegalArgumentException) {
+            return SettingsOutcome.Invalid("$fileName: ${e.message}")
+        }
+    val problem = firstProblem(settings) ?: return SettingsOutcome.Valid(settings)
+    return SettingsOutcome.Invalid("$fileName: $problem")
+}
+
+private val toml = Toml(inputConfig = TomlInputConfig(ignoreUnknownNames = false))
+
+private fun firstProblem(settings: EntrySettings): String? =
+    listOfNotNull(
+        "entry.id: write a name that is unique over the fleet".takeIf { settings.entry.id.isBlank() },
+        "entry.count: write a number of at least 1".takeIf { settings.entry.count < 1 },
+        "entry.index: write a number from 0 to entry.count - 1"
+            .takeIf { settings.entry.index !in 0 until settings.entry.count },
+        portProblem("caller.port", settings.caller.port),
+        portProblem("operator.port", settings.operator.port),
+        atLeastOne("platform.timeoutMillis", settings.platform.timeoutMillis),
+        atLeastOne("platform.pollMillis", settings.platform.pollMillis),
+        atLeastOne("limits.maxBodyBytes", settings.limits.maxBodyBytes),
+        atLeastOne("limits.maxAnswerBytes", settings.limits.maxAnswerBytes),
+        atLeastOne("limits.maxJobs", settings.limits.maxJobs.toLong()),
+        atLeastOne("limits.maxQueuedPerPool", settings.limits.maxQueuedPerPool.toLong()),
+        atLeastOne("limits.connectTimeoutMillis", settings.limits.connectTimeoutMillis),
+        atLeastOne("limits.staleAfterMillis", settings.limits.staleAfterMillis),
+        atLeastOne("limits.stopTimeoutMillis", settings.limits.stopTimeoutMillis),
+    ).firstOrNull()
+
+private fun portProblem(
+    field: String,
+    port: Int,
+): String? = "$field: write a port from 0 to $MAX_PORT".takeIf { port !in 0..MAX_PORT }
+
+private fun atLeastOne(
+    field: String,
+    value: Long,
+): String? = "$field: write a number of at least 1".takeIf { value < 1 }
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeHash.kt
@@ -0,0 +1,25 @@
+package org.verbenagauge.entry.state
+
+import kotlinx.serialization.json.Json
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** JSON form in which changes are stored. */
+internal val changeJson =
+    Json {
+        encodeDefaults = true
+        ignoreUnknownKeys = false
+        classDiscriminator = "kind"
+    }
+
+/** Returns the SHA-256 of [text] in hexadecimal digits. */
+public fun sha256Hex(text: String): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    return HexFormat.of().formatHex(digest.digest(text.encodeToByteArray()))
+}
+
+/** Returns the row value of [change]. */
+internal fun encodeChange(change: Change): String = changeJson.encodeToString(Change.serializer(), change)
+
+/** Reads a change from a row value. */
+internal fun decodeChange(value: String): Change = changeJson.decodeFromString(Change.serializer(), value)
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -0,0 +1,60 @@
+package org.verbenagauge.entry.state
+
+import kotlinx.serialization.Serializable
+
+/** Outcome of applying an [Edit]. */
+public sealed interface ApplyOutcome {
+    /** The edit is valid and leads to [state]. */
+    public data class Applied(
+        val state: ControlState,
+    ) : ApplyOutcome
+
+    /** The edit is not valid; [problems] name each thing that is wrong and where. */
+    public data class Rejected(
+        val problems: List<String>,
+    ) : ApplyOutcome
+}
+
+/**
+ * State that all entries share: the result of all accepted changes.
+ *
+ * @property version version of the last change.
+ * @property lastHash hash of the last change, empty for none.
+ * @property configuration document in force.
+ * @property fleet pools of the instances.
+ */
+@Serializable
+public data class ControlState(
+    val version: Long = 0,
+    val lastHash: String = "",
+    val configuration: Configuration = Configuration(),
+    val fleet: FleetState = FleetState(),
+) {
+    /** Applies [edit] as the next version whose change has [hash]. */
+    public fun apply(
+        edit: Edit,
+        hash: String,
+    ): ApplyOutcome {
+        val next = copy(version = version + 1, lastHash = hash)
+        return when (edit) {
+            is ConfigurationEdit -> next.editConfiguration(edit)
+            is FleetEdit -> fleet.edited(edit, configuration).lead { next.copy(fleet = it) }
+        }
+    }
+
+    private fun editConfiguration(edit: ConfigurationEdit): ApplyOutcome {
+        val edited = configuration.edited(edit)
+        val problems = validate(edited)
+        return if (problems.isEmpty()) {
+            ApplyOutcome.Applied(copy(configuration = edited))
+        } else {
+            ApplyOutcome.Rejected(problems)
+        }
+    }
+}
+
+private fun <T> PartOutcome<T>.lead(next: (T) -> ControlState): ApplyOutcome =
+    when (this) {
+        is PartOutcome.Edited -> ApplyOutcome.Applied(next(part))
+        is PartOutcome.Rejected -> ApplyOutcome.Rejected(problems)
+    }
