--- /dev/null
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -0,0 +1,21 @@
+package org.verbenagauge.bench
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+
+/** Entry point of the measurements; one subcommand each. */
+@OptIn(ExperimentalCli::class)
+public fun main(args: Array<String>) {
+    val parser = ArgParser("verbenagauge-bench")
+    parser.subcommands(*measurements())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+}
+
+// One line each, so that measurements can be added side by side.
+@OptIn(ExperimentalCli::class)
+private fun measurements(): Array<Subcommand> =
+    arrayOf(
+        PathLatencyCommand(),
+        PathThroughputCommand(),
+    )
