--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -22,6 +22,7 @@
  * @property lastHash hash of the last change, empty for none.
  * @property configuration document in force.
  * @property fleet pools of the instances.
+ * @property membership entry instances whose acknowledgements count.
  */
 @Serializable
 public data class ControlState(
@@ -29,6 +30,7 @@
     val lastHash: String = "",
     val configuration: Configuration = Configuration(),
     val fleet: FleetState = FleetState(),
+    val membership: Membership = Membership(),
 ) {
     /** Applies [edit] as the next version whose change has [hash]. */
     public fun apply(
@@ -39,6 +41,7 @@
         return when (edit) {
             is ConfigurationEdit -> next.editConfiguration(edit)
             is FleetEdit -> fleet.edited(edit, configuration).lead { next.copy(fleet = it) }
+            is MembershipEdit -> membership.edited(edit, next.version).lead { next.copy(membership = it) }
         }
     }
 
