Name file, field and what to write for each mistake in the settings

Cause: the TOML library reports a missing or unknown field by its own wording, without a unit and without the table. Ruled out: rewriting its messages, which change with its version.

Conclusion: settings errors are ours to word; a new field needs no new check of its shape.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
@@ -2,8 +2,7 @@
 
 import com.akuleshov7.ktoml.Toml
 import com.akuleshov7.ktoml.TomlInputConfig
-import com.akuleshov7.ktoml.exceptions.TomlDecodingException
-import kotlinx.serialization.SerializationException
+import com.akuleshov7.ktoml.parsers.TomlParser
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -23,21 +22,25 @@
     text: String,
     fileName: String,
 ): SettingsOutcome {
-    val settings =
-        try {
-            toml.decodeFromString(EntrySettings.serializer(), text)
-        } catch (e: TomlDecodingException) {
-            return SettingsOutcome.Invalid("$fileName: ${e.message}")
-        } catch (e: SerializationException) {
-            return SettingsOutcome.Invalid("$fileName: ${e.message}")
-        } catch (e: IllegalArgumentException) {
-            return SettingsOutcome.Invalid("$fileName: ${e.message}")
-        }
-    val problem = firstProblem(settings) ?: return SettingsOutcome.Valid(settings)
-    return SettingsOutcome.Invalid("$fileName: $problem")
+    val problem = formProblem(text)
+    if (problem != null) return SettingsOutcome.Invalid("$fileName: $problem")
+    val settings = toml.decodeFromString(EntrySettings.serializer(), text)
+    val valueProblem = firstProblem(settings) ?: return SettingsOutcome.Valid(settings)
+    return SettingsOutcome.Invalid("$fileName: $valueProblem")
 }
 
-private val toml = Toml(inputConfig = TomlInputConfig(ignoreUnknownNames = false))
+// The TOML parser reports some malformed input by unchecked exceptions of the language's library.
+@Suppress("TooGenericExceptionCaught")
+private fun formProblem(text: String): String? =
+    try {
+        val tree = TomlParser(inputConfig).parseString(text)
+        shapeProblem(tree, EntrySettings.serializer().descriptor)
+    } catch (e: RuntimeException) {
+        "is not valid TOML: ${e.message}"
+    }
+
+private val inputConfig = TomlInputConfig(ignoreUnknownNames = false)
+private val toml = Toml(inputConfig = inputConfig)
 
 private fun firstProblem(settings: EntrySettings): String? =
     listOfNotNull(
