Operators, delta edits of the document and the administration API

The document could only be replaced whole, and nobody was named as its author. Operators with rights now stand in the document; pools, teams, queues, operators and keys change one at a time, each on condition of the document's version. Rights are decided on the state that the change is stored on.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -12,6 +12,7 @@
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.operator.Health
+import org.verbenagauge.entry.operator.administrationRoutes
 import org.verbenagauge.entry.operator.operatorListener
 import org.verbenagauge.entry.placement.EndpointClientLimits
 import org.verbenagauge.entry.placement.endpointsByPool
@@ -22,6 +23,7 @@
 import org.verbenagauge.entry.settings.EntrySettings
 import org.verbenagauge.entry.state.ControlState
 import org.verbenagauge.entry.state.FleetView
+import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.Platform
 import org.verbenagauge.entry.state.StateFollower
 import org.verbenagauge.entry.state.changeLog
@@ -81,11 +83,19 @@
             maxQueuedPerPool = settings.limits.maxQueuedPerPool,
         )
 
+    private val inForceLog = InForceLog(platform.table, inForce = { 0L }, settings.entry.id, clock)
+
     private val callers: EmbeddedServer<*, *> =
         callerListener(settings.caller.host, settings.caller.port, settings.limits.maxBodyBytes, jobs)
 
     private val operators: EmbeddedServer<*, *> =
-        operatorListener(settings.operator.host, settings.operator.port, registry, ::health)
+        operatorListener(
+            settings.operator.host,
+            settings.operator.port,
+            registry,
+            ::health,
+            administrationRoutes(changes, platform.table, inForceLog, follower, settings.administration),
+        )
 
     /** Starts the listeners and the children of this supervisor. */
     public suspend fun start() {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/OperatorListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/OperatorListener.kt
@@ -29,10 +29,12 @@
     port: Int,
     registry: PrometheusRegistry,
     health: () -> Health,
+    administration: AdministrationRoutes,
 ): EmbeddedServer<*, *> =
     embeddedServer(Netty, port = port, host = host) {
         healthRoutes(health)
         metricsRoutes(registry)
+        administration.install(this)
     }
 
 /** Installs the health address: 200 when the balancer should send requests here, else 503. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
@@ -10,6 +10,7 @@
  * @property operator listener for operators.
  * @property platform services of the platform.
  * @property limits bounds on everything that can grow.
+ * @property administration who may administer before the document names an operator.
  */
 @Serializable
 public data class EntrySettings(
@@ -18,6 +19,21 @@
     val operator: ListenerSettings,
     val platform: PlatformSettings,
     val limits: LimitSettings = LimitSettings(),
+    val administration: AdministrationSettings = AdministrationSettings(),
+)
+
+/**
+ * Administration.
+ *
+ * @property bootstrapKeySha256 SHA-256 in hexadecimal digits of a key that may change everything while the document
+ * names no operator who may change it; empty for none.
+ * @property sessionSecret secret that all entries share and that protects sessions of the console; empty to turn the
+ * console off.
+ */
+@Serializable
+public data class AdministrationSettings(
+    val bootstrapKeySha256: String = "",
+    val sessionSecret: String = "",
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
@@ -9,6 +9,8 @@
 import java.nio.file.Path
 
 private const val MAX_PORT = 65_535
+private const val MIN_SESSION_SECRET_CHARS = 32
+private val hashPattern = Regex("[0-9a-f]{64}")
 
 /** Reads and checks the settings in [file]. */
 public fun readSettings(file: Path): SettingsOutcome =
@@ -56,6 +58,7 @@
         atLeastOne("limits.connectTimeoutMillis", settings.limits.connectTimeoutMillis),
         atLeastOne("limits.staleAfterMillis", settings.limits.staleAfterMillis),
         atLeastOne("limits.stopTimeoutMillis", settings.limits.stopTimeoutMillis),
+        administrationProblem(settings.administration),
     ).firstOrNull()
 
 private fun portProblem(
@@ -67,3 +70,12 @@
     field: String,
     value: Long,
 ): String? = "$field: write a number of at least 1".takeIf { value < 1 }
+
+private fun administrationProblem(administration: AdministrationSettings): String? =
+    when {
+        administration.bootstrapKeySha256.isNotEmpty() && !hashPattern.matches(administration.bootstrapKeySha256) ->
+            "administration.bootstrapKeySha256: write 64 hexadecimal digits in lower case"
+        administration.sessionSecret.length in 1 until MIN_SESSION_SECRET_CHARS ->
+            "administration.sessionSecret: write at least $MIN_SESSION_SECRET_CHARS characters"
+        else -> null
+    }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
@@ -8,7 +8,7 @@
 import kotlin.random.Random
 
 private const val HEAD_KEY = "changes/head"
-private const val CHANGE_PREFIX = "changes/at/"
+internal const val CHANGE_PREFIX = "changes/at/"
 private const val VERSION_DIGITS = 16
 private const val SCAN_LIMIT_ROWS = 200
 private const val SETTLE_ATTEMPTS = 5
@@ -173,10 +173,11 @@
 
     private fun fullJitterMillis(attempt: Int): Long =
         random.nextLong(minOf(SETTLE_MAX_DELAY_MILLIS, SETTLE_FIRST_DELAY_MILLIS shl attempt) + 1)
-
-    private fun changeKey(version: Long): String = CHANGE_PREFIX + version.toString().padStart(VERSION_DIGITS, '0')
 }
 
+/** Returns the key of the row that holds the change [version]. */
+internal fun changeKey(version: Long): String = CHANGE_PREFIX + version.toString().padStart(VERSION_DIGITS, '0')
+
 /** Creates a change log that has read nothing yet; [random] spreads its retries. */
 public fun changeLog(
     table: TableService,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Configuration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Configuration.kt
@@ -4,17 +4,19 @@
 import kotlinx.serialization.Serializable
 
 /**
- * The document that operators change: pools, teams, queues and waves.
+ * The document that operators change: pools, teams, queues, waves and operators.
  *
  * @property pools pools of instances.
  * @property teams teams that submit jobs.
  * @property queues queues that callers name.
+ * @property operators operators and what they may change.
  */
 @Serializable
 public data class Configuration(
     val pools: List<Pool> = emptyList(),
     val teams: List<Team> = emptyList(),
     val queues: List<Queue> = emptyList(),
+    val operators: List<OperatorAccount> = emptyList(),
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ConfigurationValidator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ConfigurationValidator.kt
@@ -14,6 +14,9 @@
         configuration.teams.forEach { addAll(teamProblems(it)) }
         addAll(duplicates("teams.keys", configuration.teams.flatMap { team -> team.keys.map { it.sha256Hex } }))
         configuration.queues.forEach { addAll(queueProblems(it, configuration)) }
+        addAll(duplicates("operators", configuration.operators.map { it.id }))
+        addAll(duplicates("operators.keySha256Hex", configuration.operators.map { it.keySha256Hex }))
+        configuration.operators.forEach { addAll(operatorProblems(it)) }
     }
 
 private fun duplicates(
@@ -46,14 +49,29 @@
         nameProblem("teams.id", team.id),
         "teams['${team.id}'].shareWeight: must be at least 1".takeIf { team.shareWeight < 1 },
         "teams['${team.id}'].maxRunning: must be at least 0".takeIf { team.maxRunning < 0 },
-    ) + team.keys.mapNotNull { keyProblem(team, it) }
+    ) +
+        duplicates("teams['${team.id}'].keys", team.keys.map { it.id }) +
+        team.keys.flatMap { keyProblems(team, it) }
 
-private fun keyProblem(
+private fun keyProblems(
     team: Team,
     key: TeamKey,
-): String? =
-    "teams['${team.id}'].keys['${key.id}'].sha256Hex: must be 64 hexadecimal digits in lower case"
-        .takeIf { !hashPattern.matches(key.sha256Hex) }
+): List<String> =
+    listOfNotNull(
+        nameProblem("teams['${team.id}'].keys.id", key.id),
+        hashProblem("teams['${team.id}'].keys['${key.id}'].sha256Hex", key.sha256Hex),
+    )
+
+private fun operatorProblems(operator: OperatorAccount): List<String> =
+    listOfNotNull(
+        nameProblem("operators.id", operator.id),
+        hashProblem("operators['${operator.id}'].keySha256Hex", operator.keySha256Hex),
+    )
+
+private fun hashProblem(
+    field: String,
+    hash: String,
+): String? = if (hashPattern.matches(hash)) null else "$field: must be 64 hexadecimal digits in lower case"
 
 private fun queueProblems(
     queue: Queue,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -21,6 +21,7 @@
  * @property version version of the last change.
  * @property lastHash hash of the last change, empty for none.
  * @property configuration document in force.
+ * @property configurationVersion version of the last change of [configuration].
  * @property fleet pools of the instances.
  * @property membership entry instances whose acknowledgements count.
  */
@@ -29,6 +30,7 @@
     val version: Long = 0,
     val lastHash: String = "",
     val configuration: Configuration = Configuration(),
+    val configurationVersion: Long = 0,
     val fleet: FleetState = FleetState(),
     val membership: Membership = Membership(),
 ) {
@@ -45,17 +47,26 @@
         }
     }
 
-    private fun editConfiguration(edit: ConfigurationEdit): ApplyOutcome {
-        val edited = configuration.edited(edit)
-        val problems = validate(edited)
+    private fun editConfiguration(edit: ConfigurationEdit): ApplyOutcome =
+        when (val outcome = configuration.edited(edit)) {
+            is PartOutcome.Rejected -> ApplyOutcome.Rejected(outcome.problems)
+            is PartOutcome.Edited -> putInForce(outcome.part)
+        }
+
+    private fun putInForce(edited: Configuration): ApplyOutcome {
+        val problems = validate(edited) + fleet.problemsUnder(edited)
         return if (problems.isEmpty()) {
-            ApplyOutcome.Applied(copy(configuration = edited))
+            ApplyOutcome.Applied(copy(configuration = edited, configurationVersion = version))
         } else {
             ApplyOutcome.Rejected(problems)
         }
     }
 }
 
+private fun FleetState.problemsUnder(configuration: Configuration): List<String> =
+    (poolIdByInstance.values.toSet() - configuration.pools.map { it.id }.toSet())
+        .map { "pools: pool '$it' still has instances; move them before it is removed" }
+
 private fun <T> PartOutcome<T>.lead(next: (T) -> ControlState): ApplyOutcome =
     when (this) {
         is PartOutcome.Edited -> ApplyOutcome.Applied(next(part))
