--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/settings/SettingsReaderTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/settings/SettingsReaderTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.serialization.descriptors.elementNames
 import kotlin.random.Random
 
 private const val SEED = 20_261L
@@ -29,6 +30,8 @@
     timeoutMillis = 500
     """.trimIndent()
 
+private val tableNames = EntrySettings.serializer().descriptor.elementNames.joinToString()
+
 private data class SettingsCase(
     val name: String,
     val old: String,
@@ -69,7 +72,7 @@
                     "unknown table",
                     "[caller]",
                     "[colours]\nred = 1\n\n[caller]",
-                    "colours: does not exist; write one of entry, caller, operator, platform, limits",
+                    "colours: does not exist; write one of $tableNames",
                 ),
                 SettingsCase(
                     "wrong unit in the name",
