--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/settings/SettingsReaderTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/settings/SettingsReaderTest.kt
@@ -30,7 +30,11 @@
     timeoutMillis = 500
     """.trimIndent()
 
-private val tableNames = EntrySettings.serializer().descriptor.elementNames.joinToString()
+private val tableNames =
+    EntrySettings
+        .serializer()
+        .descriptor.elementNames
+        .joinToString()
 
 private data class SettingsCase(
     val name: String,
