--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
@@ -22,6 +22,7 @@
 import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.changeLog
 import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.fake.FakeClock
 import kotlin.random.Random
 
 private const val FUZZ_REQUESTS = 1_000
@@ -31,7 +32,7 @@
     val table: ScriptedTable = ScriptedTable(),
     var fresh: Boolean = true,
 ) {
-    val clock = ManualClock()
+    val clock = FakeClock()
     val log: ChangeLog = changeLog(table, clock)
     private var drawn = 0
     val routes =
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
@@ -20,6 +20,7 @@
 import org.verbenagauge.entry.state.chainProblems
 import org.verbenagauge.entry.state.changeLog
 import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.fake.FakeClock
 import kotlin.random.Random
 
 private const val SEEDS = 1_000
@@ -27,6 +28,11 @@
 private const val OPERATORS = 3
 private const val MAX_NESTED = 2
 
+private val withoutDelays =
+    object : Random() {
+        override fun nextBits(bitCount: Int) = 0
+    }
+
 private class AskedChange(
     val request: ChangeRequest,
     val outcome: AdminOutcome,
@@ -37,8 +43,8 @@
 ) {
     private val random = Random(seed)
     private val table = ScriptedTable()
-    private val clock = ManualClock()
-    private val logs = List(OPERATORS) { changeLog(table, clock) }
+    private val clock = FakeClock()
+    private val logs = List(OPERATORS) { changeLog(table, clock, withoutDelays) }
     private val auditTrail = AuditTrail(table)
     private val operators =
         List(OPERATORS) { OperatorAccount("op-$it", sha256Hex("key-$it"), OperatorRight.entries.toSet()) }
@@ -136,8 +142,8 @@
 
         test("given a lost answer, when the operator sends the change again, then it counts once") {
             val table = ScriptedTable()
-            val log = changeLog(table, ManualClock())
-            val inForce = InForceLog(table, { 0L }, "entry", ManualClock())
+            val log = changeLog(table, FakeClock(), withoutDelays)
+            val inForce = InForceLog(table, { 0L }, "entry", FakeClock())
             val administration = Administration(log, AuditTrail(table), inForce, { true }, sha256Hex("boot"))
             val operator = administration.operators().single()
             val request = ChangeRequest(operator, 0, "once", ConfigurationEdit.PutPool(Pool("p", "s")))
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/ScriptedTable.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/ScriptedTable.kt
@@ -1,6 +1,5 @@
 package org.verbenagauge.entry.operator
 
-import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.state.ReadOutcome
 import org.verbenagauge.entry.state.Row
 import org.verbenagauge.entry.state.RowWrite
@@ -63,12 +62,3 @@
         if (value == null) rows.remove(write.key) else rows[write.key] = Row(write.key, value, version + 1)
     }
 }
-
-/** Clock that stands still until it is set. */
-internal class ManualClock(
-    var nowMillis: Long = 1_000_000,
-) : Clock {
-    override fun monotonicMillis(): Long = nowMillis
-
-    override fun wallMillis(): Long = nowMillis
-}
