--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointViews.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointViews.kt
@@ -1,19 +1,23 @@
 package org.verbenagauge.entry.placement
 
+import org.verbenagauge.entry.state.FleetState
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InstancePhase
 import org.verbenagauge.entry.state.ListedInstance
 
 /** Returns the endpoints of each pool: the shared state says where an instance belongs, the list how it is. */
 internal fun endpointsByPool(view: FleetView): Map<String, List<EndpointView>> {
-    val poolIdByInstance = view.control.fleet.poolIdByInstance
+    val fleet = view.control.fleet
+    val poolIdByInstance = fleet.poolIdByInstance
     return view.listed
         .filter { it.id in poolIdByInstance }
-        .groupBy({ poolIdByInstance.getValue(it.id) }, ::endpointView)
+        .groupBy({ poolIdByInstance.getValue(it.id) }, { endpointView(it, fleet) })
 }
 
-private fun endpointView(instance: ListedInstance) =
-    EndpointView(
-        address = EndpointAddress(instance.id, instance.host, instance.port),
-        mayStart = instance.phase == InstancePhase.LIVE,
-    )
+private fun endpointView(
+    instance: ListedInstance,
+    fleet: FleetState,
+) = EndpointView(
+    address = EndpointAddress(instance.id, instance.host, instance.port),
+    mayStart = instance.phase == InstancePhase.LIVE && fleet.mayPlace(instance.id),
+)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Configuration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Configuration.kt
@@ -9,12 +9,16 @@
  * @property pools pools of instances.
  * @property teams teams that submit jobs.
  * @property queues queues that callers name.
+ * @property waves maintenance waves.
+ * @property moves moves of single instances between pools.
  */
 @Serializable
 public data class Configuration(
     val pools: List<Pool> = emptyList(),
     val teams: List<Team> = emptyList(),
     val queues: List<Queue> = emptyList(),
+    val waves: List<Wave> = emptyList(),
+    val moves: List<InstanceMove> = emptyList(),
 )
 
 /**
@@ -41,15 +45,24 @@
  * How many instances of a pool may be away at once, planned and unplanned together.
  *
  * @property maxAway instances of the pool that may be away.
+ * @property maxAwayPercent share of the pool that may be away, rounded down; replaces [maxAway] when given.
  * @property maxAwayPerRack instances of one rack that may be away, or null for no such bound.
  * @property maxAwayPerZone instances of one availability zone that may be away, or null for no such bound.
  */
 @Serializable
 public data class AvailabilityBudget(
     val maxAway: Int = 1,
+    val maxAwayPercent: Int? = null,
     val maxAwayPerRack: Int? = null,
     val maxAwayPerZone: Int? = null,
-)
+) {
+    /** Returns how many instances of a pool with [size] instances may be away. */
+    public fun maxAwayOf(size: Int): Int = if (maxAwayPercent == null) maxAway else size * maxAwayPercent / PERCENT
+
+    private companion object {
+        const val PERCENT = 100
+    }
+}
 
 /**
  * A client account that submits jobs.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ConfigurationValidator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ConfigurationValidator.kt
@@ -14,9 +14,10 @@
         configuration.teams.forEach { addAll(teamProblems(it)) }
         addAll(duplicates("teams.keys", configuration.teams.flatMap { team -> team.keys.map { it.sha256Hex } }))
         configuration.queues.forEach { addAll(queueProblems(it, configuration)) }
+        addAll(fleetProblems(configuration))
     }
 
-private fun duplicates(
+internal fun duplicates(
     field: String,
     ids: List<String>,
 ): List<String> =
@@ -27,7 +28,7 @@
         .keys
         .map { "$field: '$it' stands more than once" }
 
-private fun nameProblem(
+internal fun nameProblem(
     field: String,
     id: String,
 ): String? = if (namePattern.matches(id)) null else "$field: '$id' must be 1 to 63 of a-z, 0-9 and '-'"
@@ -35,7 +36,6 @@
 private fun poolProblems(pool: Pool): List<String> =
     listOfNotNull(
         nameProblem("pools.id", pool.id),
-        "pools['${pool.id}'].budget.maxAway: must be at least 0".takeIf { pool.budget.maxAway < 0 },
         "pools['${pool.id}'].slotsPerWorker: must be at least 1".takeIf { pool.slotsPerWorker < 1 },
         "pools['${pool.id}'].connectionsPerWorker: must be at least slotsPerWorker"
             .takeIf { pool.connectionsPerWorker < pool.slotsPerWorker },
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -40,7 +40,7 @@
         val next = copy(version = version + 1, lastHash = hash)
         return when (edit) {
             is ConfigurationEdit -> next.editConfiguration(edit)
-            is FleetEdit -> fleet.edited(edit, configuration).lead { next.copy(fleet = it) }
+            is FleetEdit -> fleet.edited(edit, configuration, next.version).lead { next.copy(fleet = it) }
             is MembershipEdit -> membership.edited(edit, next.version).lead { next.copy(membership = it) }
         }
     }
@@ -49,7 +49,7 @@
         val edited = configuration.edited(edit)
         val problems = validate(edited)
         return if (problems.isEmpty()) {
-            ApplyOutcome.Applied(copy(configuration = edited))
+            ApplyOutcome.Applied(copy(configuration = edited, fleet = fleet.withLongestRuns(edited)))
         } else {
             ApplyOutcome.Rejected(problems)
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/TableService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/TableService.kt
@@ -133,6 +133,8 @@
  * @property rackId rack.
  * @property regionId region.
  * @property phase what the platform says of the instance.
+ * @property bootCount times that the instance has booted.
+ * @property runningCount requests that ran on it when it last reported its usage, or null when it does not report.
  */
 @Serializable
 public data class ListedInstance(
@@ -143,6 +145,8 @@
     val rackId: String,
     val regionId: String,
     val phase: InstancePhase,
+    val bootCount: Long = 0,
+    val runningCount: Int? = null,
 )
 
 /** What the platform says of an instance. */
