--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -42,7 +42,7 @@
         val next = copy(version = version + 1, lastHash = hash)
         return when (edit) {
             is ConfigurationEdit -> next.editConfiguration(edit)
-            is FleetEdit -> fleet.edited(edit, configuration).lead { next.copy(fleet = it) }
+            is FleetEdit -> fleet.edited(edit, configuration, next.version).lead { next.copy(fleet = it) }
             is MembershipEdit -> membership.edited(edit, next.version).lead { next.copy(membership = it) }
         }
     }
@@ -56,7 +56,13 @@
     private fun putInForce(edited: Configuration): ApplyOutcome {
         val problems = validate(edited) + fleet.problemsUnder(edited)
         return if (problems.isEmpty()) {
-            ApplyOutcome.Applied(copy(configuration = edited, configurationVersion = version))
+            ApplyOutcome.Applied(
+                copy(
+                    configuration = edited,
+                    configurationVersion = version,
+                    fleet = fleet.withLongestRuns(edited),
+                ),
+            )
         } else {
             ApplyOutcome.Rejected(problems)
         }
