--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -22,6 +22,9 @@
     CONFIGURATION_IN_FORCE(2001, Level.INFO),
     PLATFORM_UNAVAILABLE(2002, Level.WARN),
     PLATFORM_AVAILABLE(2003, Level.INFO),
+    PEER_CONNECTED(2010, Level.INFO),
+    PEER_DISCONNECTED(2011, Level.WARN),
+    PEER_REFUSED(2012, Level.WARN),
 }
 
 /** Writes numbered events as structured JSON. */
