--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/ConnectionTable.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/ConnectionTable.kt
@@ -8,7 +8,7 @@
 ) {
     private val connections = ConcurrentHashMap<PeerId, PeerConnection>()
 
-    val peerIds: List<PeerId> get() = connections.keys.toList()
+    val peerIds: List<PeerId> get() = ArrayList(connections.keys)
 
     operator fun get(id: PeerId): PeerConnection? = connections[id]
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/SocketPeerNetwork.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/SocketPeerNetwork.kt
@@ -103,19 +103,30 @@
 
     override suspend fun run(): Unit =
         SelectorManager(Dispatchers.IO).use { selector ->
-            aSocket(selector).tcp().bind(InetSocketAddress(endpoint.host, lastPort)) { reuseAddress = true }.use { server ->
-                lastPort = server.port
-                boundPort.complete(server.port)
-                try {
-                    supervisorScope {
-                        launch { accept(server, this@supervisorScope) }
-                        dialAll(selector, this)
-                    }
-                } finally {
-                    connections.closeAll()
-                }
+            bind(selector).use { server -> connectAll(selector, server) }
+        }
+
+    private suspend fun bind(selector: SelectorManager): ServerSocket {
+        val address = InetSocketAddress(endpoint.host, lastPort)
+        val server = aSocket(selector).tcp().bind(address) { reuseAddress = true }
+        lastPort = server.port
+        boundPort.complete(server.port)
+        return server
+    }
+
+    private suspend fun connectAll(
+        selector: SelectorManager,
+        server: ServerSocket,
+    ) {
+        try {
+            supervisorScope {
+                launch { accept(server, this@supervisorScope) }
+                dialAll(selector, this)
             }
+        } finally {
+            connections.closeAll()
         }
+    }
 
     private suspend fun accept(
         server: ServerSocket,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
@@ -26,6 +26,7 @@
     private val table: TableService,
     private val clock: Clock,
     private val random: Random,
+    private val pause: suspend (Long) -> Unit,
 ) {
     private val proposing = Mutex()
 
@@ -85,7 +86,7 @@
         val transaction = transactionOf(change, encoded)
         var mayBeStored = false
         repeat(SETTLE_ATTEMPTS) { attempt ->
-            if (attempt > 0) delay(fullJitterMillis(attempt))
+            if (attempt > 0) pause(fullJitterMillis(attempt))
             when (val outcome = table.transact(transaction)) {
                 is WriteOutcome.Applied -> return stored(change, encoded)
                 is WriteOutcome.Conflict -> return settle(change, encoded, outcome.rows)
@@ -138,7 +139,7 @@
     // A plain read may not show the row yet.
     private suspend fun readChange(version: Long): String? {
         repeat(SETTLE_ATTEMPTS) { attempt ->
-            if (attempt > 0) delay(fullJitterMillis(attempt))
+            if (attempt > 0) pause(fullJitterMillis(attempt))
             val read = table.read(listOf(changeKey(version)))
             val row = (read as? ReadOutcome.Found)?.value?.single()
             if (row != null && row.version > 0) return row.value
@@ -178,9 +179,10 @@
 /** Returns the key of the row that holds the change [version]. */
 internal fun changeKey(version: Long): String = CHANGE_PREFIX + version.toString().padStart(VERSION_DIGITS, '0')
 
-/** Creates a change log that has read nothing yet; [random] spreads its retries. */
+/** Creates a change log that has read nothing yet; [random] spreads its retries, and [pause] waits for them. */
 public fun changeLog(
     table: TableService,
     clock: Clock,
     random: Random = Random.Default,
-): ChangeLog = ChangeLog(table, clock, random)
+    pause: suspend (millis: Long) -> Unit = { delay(it) },
+): ChangeLog = ChangeLog(table, clock, random, pause)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/ChangeLogTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/ChangeLogTest.kt
@@ -20,7 +20,7 @@
 private fun edit(teamId: String) =
     ConfigurationEdit.Replace(Configuration(teams = listOf(Team(teamId, maxRunning = 1))))
 
-private fun log(table: TableService) = changeLog(table, FakeClock(), Random(1))
+private fun log(table: TableService) = changeLog(table, FakeClock(), Random(1)) {}
 
 class ChangeLogTest :
     FunSpec({
