Act only on what was confirmed by the table service, a majority of members or a confirmed member

StateService replaces StateFollower. An entry may act while its last confirmation, counted from the sending of the question on its monotonic clock, is at most 2 s old. A change is accepted once a majority of the members before and after it hold it; in force everywhere once all hold it that may still act, or once older confirmations have lapsed. Entries join and leave the members through the sequence of changes. Calls to the table service stay within a budget for each entry, and an outage is not hammered.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -25,8 +25,7 @@
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.Platform
-import org.verbenagauge.entry.state.StateFollower
-import org.verbenagauge.entry.state.changeLog
+import org.verbenagauge.entry.state.entryState
 import org.verbenagauge.entry.state.httpPlatform
 
 private const val STOP_POLL_MILLIS = 20L
@@ -42,7 +41,6 @@
 ) {
     private val log = EventLog(settings.entry.id)
     private val supervisor = Supervisor(log)
-    private val changes = changeLog(platform.table, clock)
     private val registry = PrometheusRegistry()
     private val answers =
         Counter
@@ -54,16 +52,7 @@
 
     @Volatile private var stopping = false
 
-    private val follower =
-        StateFollower(
-            changes = changes,
-            instanceService = platform.instances,
-            clock = clock,
-            log = log,
-            pollMillis = settings.platform.pollMillis,
-            staleAfterMillis = settings.limits.staleAfterMillis,
-            publish = ::publish,
-        )
+    private val state = entryState(settings, platform, clock, log, ::publish)
 
     private val jobs =
         JobService(
@@ -77,13 +66,13 @@
                     ),
                 ),
             rights = SplitRights(::partOf),
-            freshness = follower,
+            freshness = state.service,
             observer = { answers.labelValues(it.reason.verdict.headerValue, it.reason.code).inc() },
             maxJobs = settings.limits.maxJobs,
             maxQueuedPerPool = settings.limits.maxQueuedPerPool,
         )
 
-    private val inForceLog = InForceLog(platform.table, inForce = { 0L }, settings.entry.id, clock)
+    private val inForceLog = InForceLog(state.platform.table, state.service, settings.entry.id, clock)
 
     private val callers: EmbeddedServer<*, *> =
         callerListener(settings.caller.host, settings.caller.port, settings.limits.maxBodyBytes, jobs)
@@ -94,14 +83,22 @@
             settings.operator.port,
             registry,
             ::health,
-            administrationRoutes(changes, platform.table, inForceLog, follower, settings.administration),
+            administrationRoutes(
+                state.changes,
+                state.platform.table,
+                inForceLog,
+                state.service,
+                settings.administration,
+            ),
         )
 
     /** Starts the listeners and the children of this supervisor. */
     public suspend fun start() {
         operators.start(wait = false)
         callers.start(wait = false)
-        supervisor.start(follower)
+        state.register(registry)
+        state.children.forEach(supervisor::start)
+        supervisor.start(inForceLog)
         supervisor.start(AdmissionTicker(jobs))
         log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
     }
@@ -121,14 +118,14 @@
             .port
 
     /** Waits until this entry has read the configuration for the first time. */
-    public suspend fun awaitReady(): Unit = follower.awaitReady()
+    public suspend fun awaitReady(): Unit = state.service.awaitReady()
 
     /** Health as the balancer sees it. */
     public fun health(): Health =
         when {
             stopping -> Health.STOPPING
-            !follower.isReady() -> Health.STARTING
-            !follower.isFresh() -> Health.STALE
+            !state.service.isReady() -> Health.STARTING
+            !state.service.isFresh() -> Health.STALE
             else -> Health.READY
         }
 
@@ -139,6 +136,7 @@
         jobs.stopAccepting()
         val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
         while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
+        state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         operators.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         supervisor.stop()
@@ -150,8 +148,7 @@
     }
 
     private fun partOf(resource: Resource): Int {
-        val state = changes.state.value
-        val limit = limitOf(resource, state)
+        val limit = limitOf(resource, state.changes.state.value)
         val index = (settings.entry.index + resource.hashCode()).mod(settings.entry.count)
         return fixedSplit(limit, index, settings.entry.count)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
@@ -10,6 +10,7 @@
  * @property operator listener for operators.
  * @property platform services of the platform.
  * @property limits bounds on everything that can grow.
+ * @property peers other entries, or null for an entry that shares nothing but the table service with them.
  * @property administration who may administer before the document names an operator.
  */
 @Serializable
@@ -19,6 +20,7 @@
     val operator: ListenerSettings,
     val platform: PlatformSettings,
     val limits: LimitSettings = LimitSettings(),
+    val peers: PeerSettings? = null,
     val administration: AdministrationSettings = AdministrationSettings(),
 )
 
@@ -88,7 +90,8 @@
  * @property maxJobs requests that the entry holds at once.
  * @property maxQueuedPerPool requests that wait at once for one pool.
  * @property connectTimeoutMillis longest time until a connection to an endpoint is open.
- * @property staleAfterMillis age of the last confirmation after which the configuration counts as stale.
+ * @property staleAfterMillis age of the last confirmation after which the configuration counts as stale; the same on
+ * all entries.
  * @property stopTimeoutMillis longest planned stop.
  */
 @Serializable
@@ -98,6 +101,6 @@
     val maxJobs: Int = 10_000,
     val maxQueuedPerPool: Int = 5_000,
     val connectTimeoutMillis: Long = 500,
-    val staleAfterMillis: Long = 2_500,
+    val staleAfterMillis: Long = 2_000,
     val stopTimeoutMillis: Long = 60_000,
 )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
@@ -7,7 +7,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
-private const val MAX_PORT = 65_535
+internal const val MAX_PORT = 65_535
 private const val MIN_SESSION_SECRET_CHARS = 32
 private val hashPattern = Regex("[0-9a-f]{64}")
 
@@ -61,6 +61,7 @@
         atLeastOne("limits.connectTimeoutMillis", settings.limits.connectTimeoutMillis),
         atLeastOne("limits.staleAfterMillis", settings.limits.staleAfterMillis),
         atLeastOne("limits.stopTimeoutMillis", settings.limits.stopTimeoutMillis),
+        settings.peers?.let(::peerProblem),
         administrationProblem(settings.administration),
     ).firstOrNull()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
@@ -35,6 +35,13 @@
     /** State after the last change that this process has followed; its version only rises. */
     public val state: StateFlow<ControlState> = history.state
 
+    @Volatile private var storedListener: (Long) -> Unit = {}
+
+    /** Calls [listener] with the version of every change that this process has stored. */
+    internal fun onStored(listener: (version: Long) -> Unit) {
+        storedListener = listener
+    }
+
     /** Reads changes up to the head that a plain read shows; [ReadOutcome.Found] with the version reached. */
     public suspend fun refresh(): ReadOutcome<Long> =
         when (val read = table.read(listOf(HEAD_KEY))) {
@@ -115,6 +122,7 @@
         encoded: String,
     ): ProposeOutcome {
         history.follow(encoded)
+        storedListener(change.version)
         return ProposeOutcome.Stored(change.version)
     }
 
