Move rights between entries by escrow, with demand, recovery and limit changes in a pure core

A fixed split strands rights when demand is uneven. Each incarnation now holds a base grant from the change log plus what it received minus what it sent; both are cumulative counters for each pair of incarnations, so that lost, late and repeated messages never create rights. The accounts with former members are folded into the base grants once nothing of theirs can be running.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/Rights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/Rights.kt
@@ -1,21 +1,16 @@
 package org.verbenagauge.entry.rights
 
-import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Something of which only a limited number may be in use at once over the fleet. */
-@Serializable
+@Serializable(with = ResourceSerializer::class)
 public sealed interface Resource {
     /** Running requests of the team [teamId]; the limit is the team's upper limit. */
-    @Serializable
-    @SerialName("team")
     public data class Team(
         val teamId: String,
     ) : Resource
 
     /** Slots of the worker [instanceId]; the limit is the pool's slots per worker. */
-    @Serializable
-    @SerialName("slot")
     public data class Slot(
         val instanceId: String,
     ) : Resource
@@ -42,6 +37,18 @@
         waiting: Int,
     )
 
+    /** Reports that a request of [teamId] in [poolId] has started. */
+    public fun reportStarted(
+        poolId: String,
+        teamId: String,
+    ): Unit = Unit
+
+    /** Reports that a request of [teamId] in [poolId] has ended, of which [reportStarted] told. */
+    public fun reportEnded(
+        poolId: String,
+        teamId: String,
+    ): Unit = Unit
+
     /** Calls [listener] after rights have become free other than by [release]. */
     public fun onGained(listener: () -> Unit)
 }
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsGroup.kt
@@ -0,0 +1,17 @@
+package org.verbenagauge.entry.rights
+
+import kotlinx.serialization.Serializable
+
+/** Resources whose rights move together to where they are needed. */
+@Serializable(with = RightsGroupSerializer::class)
+public sealed interface RightsGroup {
+    /** Running requests of the team [teamId]. */
+    public data class Team(
+        val teamId: String,
+    ) : RightsGroup
+
+    /** Slots of all workers of the pool [poolId]. */
+    public data class Pool(
+        val poolId: String,
+    ) : RightsGroup
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -24,6 +24,7 @@
  * @property configurationVersion version of the last change of [configuration].
  * @property fleet pools of the instances.
  * @property membership entry instances whose acknowledgements count.
+ * @property rights rights granted to entries.
  */
 @Serializable
 public data class ControlState(
@@ -33,6 +34,7 @@
     val configurationVersion: Long = 0,
     val fleet: FleetState = FleetState(),
     val membership: Membership = Membership(),
+    val rights: RightsState = RightsState(),
 ) {
     /** Applies [edit] as the next version whose change has [hash]. */
     public fun apply(
@@ -40,11 +42,14 @@
         hash: String,
     ): ApplyOutcome {
         val next = copy(version = version + 1, lastHash = hash)
-        return when (edit) {
-            is ConfigurationEdit -> next.editConfiguration(edit)
-            is FleetEdit -> fleet.edited(edit, configuration, next.version).lead { next.copy(fleet = it) }
-            is MembershipEdit -> membership.edited(edit, next.version).lead { next.copy(membership = it) }
-        }
+        val outcome =
+            when (edit) {
+                is ConfigurationEdit -> next.editConfiguration(edit)
+                is FleetEdit -> fleet.edited(edit, configuration, next.version).lead { next.copy(fleet = it) }
+                is MembershipEdit -> membership.edited(edit, next.version).lead { next.copy(membership = it) }
+                is RightsEdit -> rights.edited(edit, ::limitOf).lead { next.copy(rights = it) }
+            }
+        return if (outcome is ApplyOutcome.Applied) ApplyOutcome.Applied(outcome.state.rightsFollowing()) else outcome
     }
 
     private fun editConfiguration(edit: ConfigurationEdit): ApplyOutcome =
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzNode.kt
@@ -0,0 +1,40 @@
+package org.verbenagauge.entry.rights
+
+import org.verbenagauge.entry.peers.PeerId
+
+/** One incarnation in a schedule. */
+internal class FuzzNode(
+    val id: PeerId,
+    timing: RightsTiming,
+    private val clockRate: Double,
+    private val startedAtMillis: Long,
+) {
+    val core = RightsCore(id, timing)
+    val jobs = mutableListOf<FuzzJob>()
+    var crashed = false
+    var pausedUntilMillis = 0L
+    var cutOffUntilMillis = 0L
+
+    /** Until when the freshness rule lets this incarnation start work; only a removal bounds it. */
+    var mayStartUntilMillis = Long.MAX_VALUE
+    private var nowMillis = startedAtMillis
+
+    fun at(nowMillis: Long): FuzzNode = apply { this.nowMillis = nowMillis }
+
+    fun clockMillis(): Long = ((nowMillis - startedAtMillis) * clockRate).toLong()
+
+    fun isFresh(): Boolean = !crashed && nowMillis <= mayStartUntilMillis
+
+    fun isAwake(): Boolean = !crashed && nowMillis >= pausedUntilMillis
+
+    fun running(resource: Resource): Int = jobs.count { it.team == resource || it.slot == resource }
+
+    fun usable(resource: Resource): Int = if (isFresh()) core.held(resource) else 0
+}
+
+/** A request that runs; its endpoint goes on with it when the entry dies. */
+internal class FuzzJob(
+    val team: Resource,
+    val slot: Resource,
+    val endsAtMillis: Long,
+)
