--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -22,6 +22,7 @@
     CONFIGURATION_IN_FORCE(2001, Level.INFO),
     PLATFORM_UNAVAILABLE(2002, Level.WARN),
     PLATFORM_AVAILABLE(2003, Level.INFO),
+    RIGHTS_PROPOSED(4001, Level.INFO),
 }
 
 /** Writes numbered events as structured JSON. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
@@ -10,6 +10,7 @@
 private const val ACCOUNT_REQUEST_MILLIS = 500L
 private const val PROPOSAL_PAUSE_MILLIS = 500L
 private const val MAX_GRANTED_RESOURCES = 200
+private const val RUNS_AFTER_START = 2
 
 /**
  * Decides what an entry proposes to the change log: surrenders of its own, the recovery of former members,
@@ -127,10 +128,12 @@
         return (members - accounts.keys).map { RightsAction.Send(it, RightsMessage.AccountRequest(sortedDeparted())) }
     }
 
-    // Nothing that a former member started can be running any more.
+    // Nothing that a former member started can be running any more: an endpoint may begin as late as the
+    // entry would have waited for its answer, and then runs for as long again.
     private fun haveEnded(nowMillis: Long): Boolean =
         ledger.view.rights.departed().all { holder ->
-            val waitMillis = timing.startBoundMillis + holder.longestRunMillis + timing.runMarginMillis
+            val waitMillis =
+                timing.startBoundMillis + RUNS_AFTER_START * holder.longestRunMillis + timing.runMarginMillis
             nowMillis - departedAtMillis.getValue(holder.id) >= waitMillis
         }
 
