--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/ChangeLogProposer.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/ChangeLogProposer.kt
@@ -16,7 +16,9 @@
         log.write(Event.RIGHTS_PROPOSED, "'${proposal.operationId}': $outcome")
         return when (outcome) {
             is ProposeOutcome.Stored -> ProposalOutcome.STORED
-            is ProposeOutcome.Conflict, is ProposeOutcome.Invalid, is ProposeOutcome.Unavailable -> ProposalOutcome.REFUSED
+            is ProposeOutcome.Conflict -> ProposalOutcome.REFUSED
+            is ProposeOutcome.Invalid -> ProposalOutcome.REFUSED
+            is ProposeOutcome.Unavailable -> ProposalOutcome.REFUSED
             is ProposeOutcome.Unknown -> ProposalOutcome.UNKNOWN
         }
     }
