--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -29,6 +29,7 @@
     PEER_CONNECTED(2010, Level.INFO),
     PEER_DISCONNECTED(2011, Level.WARN),
     PEER_REFUSED(2012, Level.WARN),
+    RIGHTS_PROPOSED(4001, Level.INFO),
 }
 
 /** Writes numbered events as structured JSON. */
