--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/BudgetPlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/BudgetPlanner.kt
@@ -102,7 +102,7 @@
             .maxOrNull() ?: 0
 
     private fun zoneRounds(): Int {
-        val perZone = input.budgets[poolId]?.maxAwayPerZone ?: return 0
+        val perZone = room?.maxAwayPerZone ?: return 0
         val largestZone =
             left
                 .groupingBy { it.place.zoneId }
@@ -113,7 +113,8 @@
     }
 }
 
-private fun ceilDiv(
+/** Returns the rounds of [atOnce] that [work] needs; 0 when nothing can be done. */
+internal fun ceilDiv(
     work: Int,
     atOnce: Int,
 ): Int = if (atOnce < 1) 0 else (work + atOnce - 1) / atOnce
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/MoveDirector.kt
@@ -0,0 +1,45 @@
+package org.verbenagauge.entry.fleet
+
+import org.verbenagauge.entry.state.ControlState
+import org.verbenagauge.entry.state.FleetEdit
+import org.verbenagauge.entry.state.InstanceMove
+import org.verbenagauge.entry.state.PoolRoom
+import org.verbenagauge.entry.state.StepPurpose
+
+/** Decides which move of the document begins next. */
+internal class MoveDirector(
+    private val control: ControlState,
+    private val rooms: Map<String, PoolRoom>,
+    private val sightings: Sightings,
+    private val nowWallMillis: Long,
+) {
+    private val fleet = control.fleet
+
+    /** Moves that have not begun, in the order of the document. */
+    val waiting: List<InstanceMove> =
+        control.configuration.moves.filter { move ->
+            !move.cancelled &&
+                move.id !in fleet.finishedMoveIds &&
+                move.instanceId !in fleet.stepByInstance &&
+                fleet.poolIdByInstance[move.instanceId] != move.toPoolId
+        }
+
+    /** Returns the step of the first move that may begin, or null. */
+    fun next(): FleetEdit.Begin? =
+        waiting.firstOrNull(::mayBegin)?.let {
+            FleetEdit.Begin(
+                it.instanceId,
+                StepPurpose.Move(it.id),
+                sightings.place(it.instanceId),
+                nowWallMillis = nowWallMillis,
+            )
+        }
+
+    // An instance that is down is away already: taking it out for good costs no availability.
+    private fun mayBegin(move: InstanceMove): Boolean {
+        val room = rooms[fleet.poolIdByInstance[move.instanceId]] ?: return true
+        val isDown = !sightings.isLive(move.instanceId)
+        if (isDown) return move.toPoolId == null && room.planned < room.maxAway + room.lent
+        return room.free > 0 && room.domainsAllow(sightings.place(move.instanceId))
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/PlanDraft.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/PlanDraft.kt
@@ -5,9 +5,7 @@
     private val input: WavePlanInput,
 ) {
     private val taken = ArrayList<PlacedInstance>()
-    private val takenByPool = HashMap<String, Int>()
-    private val takenByRack = HashMap<PoolDomain, Int>()
-    private val takenByZone = HashMap<PoolDomain, Int>()
+    private val rooms = HashMap(input.rooms)
     private val refused = HashMap<String, PoolWait>()
     private val stage = stageOf(input)
 
@@ -18,7 +16,7 @@
     fun hasLimitLeft(): Boolean = input.limit == null || input.away.size + taken.size < input.limit
 
     /** Instances that [poolId] may still lose. */
-    fun free(poolId: String): Int = (input.rooms[poolId]?.free ?: 0) - (takenByPool[poolId] ?: 0)
+    fun free(poolId: String): Int = rooms[poolId]?.free ?: 0
 
     /** What holds [instance] back, or null. */
     fun waitFor(instance: PlacedInstance): PoolWait? {
@@ -26,7 +24,7 @@
         return when {
             !hasLimitLeft() -> PoolWait.WAVE
             free(poolId) < 1 -> budgetWait(poolId)
-            !domainAllows(instance) -> PoolWait.DOMAIN_BUDGET_USED
+            rooms.getValue(poolId).domainsAllow(instance.place).not() -> PoolWait.DOMAIN_BUDGET_USED
             else -> null
         }
     }
@@ -39,9 +37,7 @@
             return false
         }
         taken += instance
-        takenByPool.merge(instance.poolId, 1, Int::plus)
-        takenByRack.merge(PoolDomain(instance.poolId, instance.place.rackId), 1, Int::plus)
-        takenByZone.merge(PoolDomain(instance.poolId, instance.place.zoneId), 1, Int::plus)
+        rooms.computeIfPresent(instance.poolId) { _, room -> room.without(instance.place) }
         return true
     }
 
@@ -66,34 +62,19 @@
     }
 
     private fun budgetWait(poolId: String): PoolWait {
-        val room = input.rooms[poolId] ?: return PoolWait.BUDGET_ZERO
+        val room = rooms[poolId] ?: return PoolWait.BUDGET_ZERO
         return when {
-            room.planned > 0 || (takenByPool[poolId] ?: 0) > 0 -> PoolWait.BUDGET_USED
+            room.planned > 0 -> PoolWait.BUDGET_USED
             room.unplanned > 0 -> PoolWait.BUDGET_LOST
             else -> PoolWait.BUDGET_ZERO
         }
     }
 
-    private fun domainAllows(instance: PlacedInstance): Boolean {
-        val budget = input.budgets[instance.poolId] ?: return false
-        val room = input.rooms[instance.poolId] ?: return false
-        val rack = instance.place.rackId
-        val zone = instance.place.zoneId
-        val inRack = (room.awayByRack[rack] ?: 0) + (takenByRack[PoolDomain(instance.poolId, rack)] ?: 0)
-        val inZone = (room.awayByZone[zone] ?: 0) + (takenByZone[PoolDomain(instance.poolId, zone)] ?: 0)
-        return inRack < (budget.maxAwayPerRack ?: Int.MAX_VALUE) && inZone < (budget.maxAwayPerZone ?: Int.MAX_VALUE)
-    }
-
     private fun isOpen(poolId: String) = poolId !in input.poolWaits && orderWait(poolId) == null
 
     private fun orderWait(poolId: String): PoolWait? = PoolWait.POOL_ORDER.takeIf { stage != null && poolId != stage }
 
     private fun defaultWait(poolId: String): PoolWait = if (free(poolId) < 1) budgetWait(poolId) else PoolWait.WAVE
-
-    private data class PoolDomain(
-        val poolId: String,
-        val domainId: String,
-    )
 }
 
 // The pool of the order that is being finished, or null once all of them are.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WavePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WavePlanner.kt
@@ -1,6 +1,5 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.AvailabilityBudget
 import org.verbenagauge.entry.state.InstancePlace
 import org.verbenagauge.entry.state.PoolRoom
 import org.verbenagauge.entry.state.Wave
@@ -16,7 +15,6 @@
  *
  * @property wave wave.
  * @property rooms room of each pool, with all that is away now.
- * @property budgets budget of each pool.
  * @property pending instances that take part, serve and wait for their maintenance.
  * @property away instances that the wave holds away now.
  * @property downByPool instances that take part and are down, by pool.
@@ -27,7 +25,6 @@
 public data class WavePlanInput(
     val wave: Wave,
     val rooms: Map<String, PoolRoom>,
-    val budgets: Map<String, AvailabilityBudget>,
     val pending: List<PlacedInstance>,
     val away: List<PlacedInstance>,
     val downByPool: Map<String, Int> = emptyMap(),
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
@@ -60,7 +60,7 @@
                 copy(
                     configuration = edited,
                     configurationVersion = version,
-                    fleet = fleet.withLongestRuns(edited),
+                    fleet = fleet.withHistory(edited),
                 ),
             )
         } else {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetBegin.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetBegin.kt
@@ -105,14 +105,10 @@
 ): String? {
     val pool = configuration.pools.firstOrNull { it.id == poolIdByInstance[edit.instanceId] } ?: return null
     val room = poolRooms(this, configuration, down = emptyMap()).getValue(pool.id)
-    val inRack = room.awayByRack[edit.place.rackId] ?: 0
-    val inZone = room.awayByZone[edit.place.zoneId] ?: 0
-    val perRack = pool.budget.maxAwayPerRack
-    val perZone = pool.budget.maxAwayPerZone
     return when {
         room.free < 1 -> "pool '${pool.id}' has ${room.planned} instances away, its most"
-        perRack != null && inRack >= perRack -> "pool '${pool.id}' has $inRack away in rack '${edit.place.rackId}'"
-        perZone != null && inZone >= perZone -> "pool '${pool.id}' has $inZone away in zone '${edit.place.zoneId}'"
+        !room.domainsAllow(edit.place) ->
+            "pool '${pool.id}' has the most of rack '${edit.place.rackId}' or zone '${edit.place.zoneId}' away"
         else -> null
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetEdit.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetEdit.kt
@@ -69,6 +69,14 @@
         override val phaseVersion: Long,
     ) : OfStep
 
+    /** The instance never comes back, and a move of the document takes it out of the fleet. */
+    @Serializable
+    @SerialName("abandon-instance")
+    public data class Abandon(
+        override val instanceId: String,
+        override val phaseVersion: Long,
+    ) : OfStep
+
     /** Puts a draining instance back; one that moves and has left its pool goes back to it after the reboot. */
     @Serializable
     @SerialName("cancel-step")
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetReducer.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetReducer.kt
@@ -11,19 +11,21 @@
     return PartOutcome.Edited(after(edit, configuration, version))
 }
 
-/** Raises the longest run of each pool to what [configuration] allows; drops pools that are gone. */
-internal fun FleetState.withLongestRuns(configuration: Configuration): FleetState {
-    val allowed =
-        configuration.queues.groupBy { it.poolId }.mapValues { (_, queues) ->
-            queues.maxOf { it.maxRunMillis }
-        }
-    val poolIds = configuration.pools.map { it.id } + poolIdByInstance.values
-    return copy(
-        longestRunMillisByPool =
-            poolIds.distinct().associateWith { maxOf(longestRunMillisByPool[it] ?: 0, allowed[it] ?: 0) },
-    )
+/** Adds what [configuration] allows to the history of each pool; drops pools that are gone. */
+internal fun FleetState.withHistory(configuration: Configuration): FleetState {
+    val queuesByPool = configuration.queues.groupBy { it.poolId }
+    val poolIds = (configuration.pools.map { it.id } + poolIdByInstance.values).distinct()
+    return copy(historyByPool = poolIds.associateWith { historyOf(it).with(queuesByPool[it].orEmpty()) })
 }
 
+private fun FleetState.historyOf(poolId: String) = historyByPool[poolId] ?: PoolHistory()
+
+private fun PoolHistory.with(queues: List<Queue>) =
+    PoolHistory(
+        longestRunMillis = maxOf(longestRunMillis, queues.maxOfOrNull { it.maxRunMillis } ?: 0),
+        hadNonIdempotent = hadNonIdempotent || queues.any { !it.idempotent },
+    )
+
 private fun FleetState.problemOf(
     edit: FleetEdit,
     configuration: Configuration,
@@ -61,11 +63,29 @@
         return "step of instance '$id' has token ${step.phaseVersion}, not ${edit.phaseVersion}"
     }
     if (!mayFollow(edit, step)) return "step of instance '$id' is ${step.phase}, which does not allow this edit"
+    if (edit is FleetEdit.Abandon) return abandonProblem(id, configuration)
     val joinsUnknown =
-        edit is FleetEdit.Finish && id !in poolIdByInstance && configuration.pools.none { it.id == step.toPoolId }
+        edit is FleetEdit.Finish && step.toPoolId != step.fromPoolId && !configuration.hasPool(step.toPoolId)
     return "pool '${step.toPoolId}' of instance '$id' does not exist; cancel its step".takeIf { joinsUnknown }
 }
 
+private fun Configuration.hasPool(poolId: String?) = pools.any { it.id == poolId }
+
+private fun FleetState.abandonProblem(
+    id: String,
+    configuration: Configuration,
+): String? =
+    "no move of the document takes instance '$id' out of the fleet".takeIf { removalOf(id, configuration) == null }
+
+/** Returns the move of [configuration] that takes [instanceId] out of the fleet and has not ended, or null. */
+internal fun FleetState.removalOf(
+    instanceId: String,
+    configuration: Configuration,
+): InstanceMove? =
+    configuration.moves.firstOrNull {
+        it.instanceId == instanceId && it.toPoolId == null && !it.cancelled && it.id !in finishedMoveIds
+    }
+
 private fun mayFollow(
     edit: FleetEdit.OfStep,
     step: InstanceStep,
@@ -75,6 +95,7 @@
         is FleetEdit.Reboot -> step.phase == StepPhase.DRAINING || step.phase == StepPhase.STOPPING
         is FleetEdit.Lose -> step.phase == StepPhase.REBOOTING
         is FleetEdit.Finish -> step.phase == StepPhase.REBOOTING || step.phase == StepPhase.LOST
+        is FleetEdit.Abandon -> step.phase == StepPhase.LOST
         is FleetEdit.Cancel ->
             step.phase == StepPhase.DRAINING ||
                 (step.phase != StepPhase.STOPPING && step.purpose !is StepPurpose.Maintenance)
@@ -104,7 +125,8 @@
         is FleetEdit.StopWork -> withStep(edit) { it.copy(phase = StepPhase.STOPPING, phaseVersion = version) }
         is FleetEdit.Reboot -> rebooting(edit, version)
         is FleetEdit.Lose -> withStep(edit) { it.copy(phase = StepPhase.LOST, phaseVersion = version) }
-        is FleetEdit.Finish -> finished(edit.instanceId)
+        is FleetEdit.Finish -> finished(edit.instanceId, configuration)
+        is FleetEdit.Abandon -> abandoned(edit.instanceId, configuration)
         is FleetEdit.Cancel -> cancelled(edit)
         is FleetEdit.Hold ->
             copy(waves = waves + (edit.waveId to (waves[edit.waveId] ?: WaveRecord()).copy(hold = edit.hold)))
@@ -168,15 +190,32 @@
     version: Long,
 ) = copy(phase = StepPhase.REBOOTING, phaseVersion = version, bootCountBefore = edit.bootCountBefore)
 
-private fun FleetState.finished(id: String): FleetState {
+private fun FleetState.finished(
+    id: String,
+    configuration: Configuration,
+): FleetState {
     val step = stepByInstance.getValue(id)
     val purpose = step.purpose
     val ended = copy(stepByInstance = stepByInstance - id)
     if (purpose is StepPurpose.Maintenance) return ended.withMaintained(purpose.waveId, id)
+    if (!configuration.hasPool(step.toPoolId)) return ended.withFinishedMove(purpose)
     val joined = ended.copy(poolIdByInstance = poolIdByInstance + (id to checkNotNull(step.toPoolId)))
     return joined.copy(homePoolIdByLent = homesAfterJoin(id, step)).withFinishedMove(purpose)
 }
 
+private fun FleetState.abandoned(
+    id: String,
+    configuration: Configuration,
+): FleetState {
+    val moveId = checkNotNull(removalOf(id, configuration)).id
+    return copy(
+        poolIdByInstance = poolIdByInstance - id,
+        stepByInstance = stepByInstance - id,
+        homePoolIdByLent = homePoolIdByLent - id,
+        finishedMoveIds = finishedMoveIds + moveId,
+    )
+}
+
 private fun FleetState.homesAfterJoin(
     id: String,
     step: InstanceStep,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetState.kt
@@ -10,7 +10,7 @@
  * @property homePoolIdByLent pool that each lent instance goes back to.
  * @property waves progress of each wave by its name.
  * @property finishedMoveIds moves of the document that have ended.
- * @property longestRunMillisByPool longest run that any queue of the pool has ever allowed.
+ * @property historyByPool what the queues of each pool have ever allowed.
  */
 @Serializable
 public data class FleetState(
@@ -19,7 +19,7 @@
     val homePoolIdByLent: Map<String, String> = emptyMap(),
     val waves: Map<String, WaveRecord> = emptyMap(),
     val finishedMoveIds: Set<String> = emptySet(),
-    val longestRunMillisByPool: Map<String, Long> = emptyMap(),
+    val historyByPool: Map<String, PoolHistory> = emptyMap(),
 ) {
     /** Pool that [instanceId] counts for in a wave: its home pool while it is lent; null for none. */
     public fun homePoolId(instanceId: String): String? = homePoolIdByLent[instanceId] ?: poolIdByInstance[instanceId]
@@ -66,6 +66,18 @@
     val zoneId: String,
 )
 
+/**
+ * What the queues of a pool have ever allowed: work that began under an older document may still run.
+ *
+ * @property longestRunMillis longest run of a request.
+ * @property hadNonIdempotent whether any queue was not idempotent.
+ */
+@Serializable
+public data class PoolHistory(
+    val longestRunMillis: Long = 0,
+    val hadNonIdempotent: Boolean = false,
+)
+
 /** How far a step is. */
 @Serializable
 public enum class StepPhase {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/WavePlannerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/WavePlannerTest.kt
@@ -3,7 +3,6 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import org.verbenagauge.entry.state.AvailabilityBudget
 import org.verbenagauge.entry.state.InstancePlace
 import org.verbenagauge.entry.state.PoolRoom
 import org.verbenagauge.entry.state.Wave
@@ -26,7 +25,6 @@
 private fun input(
     rooms: List<PoolRoom>,
     wave: Wave = Wave("w"),
-    budget: AvailabilityBudget = AvailabilityBudget(),
     limit: Int? = null,
     poolWaits: Map<String, PoolWait> = emptyMap(),
 ): WavePlanInput {
@@ -34,7 +32,6 @@
     return WavePlanInput(
         wave = wave,
         rooms = rooms.associateBy { it.poolId },
-        budgets = rooms.associate { it.poolId to budget },
         pending = rooms.flatMap { all.getValue(it.poolId).drop(it.planned + it.unplanned) },
         away = rooms.flatMap { all.getValue(it.poolId).take(it.planned) },
         limit = limit,
@@ -103,7 +100,7 @@
                 PlanCase(
                     "budget of a zone",
                     BudgetPlanner,
-                    input(listOf(a8.copy(maxAway = 4)), budget = AvailabilityBudget(maxAwayPerZone = 1)),
+                    input(listOf(a8.copy(maxAway = 4, maxAwayPerZone = 1))),
                     listOf("a0", "a4"),
                     mapOf("a" to PoolWait.DOMAIN_BUDGET_USED),
                 ),
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/FleetReducerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/FleetReducerTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import org.verbenagauge.entry.state.FleetEdit.Abandon
 import org.verbenagauge.entry.state.FleetEdit.AssignInstance
 import org.verbenagauge.entry.state.FleetEdit.Begin
 import org.verbenagauge.entry.state.FleetEdit.Cancel
@@ -88,7 +89,7 @@
                     begin("a1", rack = "rack-1"),
                     begin("a2", rack = "rack-2"),
                 ),
-                rejected("budget of the rack", "in rack 'rack-0'", begin("a0"), begin("a1")),
+                rejected("budget of the rack", "most of rack 'rack-0'", begin("a0"), begin("a1")),
                 rejected("no budget", "pool 'b' has 0", begin("b0")),
                 rejected("wave paused", "does not run", begin("a0", StepPurpose.Maintenance("paused"))),
                 rejected("wave unknown", "wave 'x'", begin("a0", StepPurpose.Maintenance("x"))),
@@ -117,6 +118,14 @@
                 rejected("move of another", "not 'a0'", begin("a0", StepPurpose.Move("m"))),
                 rejected("not spare", "spare pool", begin("a0", StepPurpose.Lend, toPoolId = "b")),
                 rejected("return of its own", "is not lent", begin("a0", StepPurpose.Return)),
+                rejected(
+                    "abandoned without a removal",
+                    "takes instance 'a0' out",
+                    begin("a0"),
+                    Reboot("a0", FIRST, 0),
+                    Lose("a0", 8),
+                    Abandon("a0", 9),
+                ),
                 rejected("forgotten too early", "still stands", Forget(setOf("w"), emptySet())),
             ) { case ->
                 val outcome = applied(case.edits)
@@ -157,6 +166,14 @@
             gone.finishedMoveIds shouldBe setOf("out")
         }
 
+        test(
+            "given an instance that never came back, when a move takes it out of the fleet, then it can be abandoned",
+        ) {
+            val gone = stateAfter(begin("a1"), Reboot("a1", FIRST, 0), Lose("a1", 8), Abandon("a1", 9))
+            gone.poolIdByInstance["a1"] shouldBe null
+            gone.finishedMoveIds shouldBe setOf("out")
+        }
+
         test("given a lent instance, when its pool has no budget, then it covers one instance and can go back") {
             val lent =
                 arrayOf<Edit>(
@@ -176,7 +193,7 @@
 
         test("given a queue, when its longest run is lowered, then the pool remembers the longest") {
             val lowered = document.copy(queues = listOf(Queue("q", "a", maxRunMillis = 1_000)))
-            stateAfter(ConfigurationEdit.Replace(lowered)).longestRunMillisByPool["a"] shouldBe 70_000
+            stateAfter(ConfigurationEdit.Replace(lowered)).historyByPool["a"] shouldBe PoolHistory(70_000, true)
         }
 
         test("given pools, when a document with bad waves, moves and budgets is checked, then each problem is named") {
