--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/Lending.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/Lending.kt
@@ -21,7 +21,7 @@
 
     /** Returns the step that lends an instance to a pool of a running wave, or null. */
     fun lend(decisions: List<WaveDecision>): FleetEdit.Begin? {
-        val poolIds = decisions.filter { it.waits.isEmpty() || it.slowed }.flatMap { needy(it) }
+        val poolIds = decisions.filter { it.mayBegin }.flatMap(::needy)
         val poolId = poolIds.firstOrNull() ?: return null
         val id = spareInstances().firstOrNull() ?: return null
         return FleetEdit.Begin(id, StepPurpose.Lend, sightings.place(id), poolId, nowWallMillis)
@@ -37,7 +37,7 @@
         val id =
             fleet.homePoolIdByLent.keys.firstOrNull { id ->
                 val poolId = fleet.poolIdByInstance[id]
-                id !in fleet.stepByInstance && poolId !in needed && (rooms[poolId]?.free ?: 0) > 0
+                poolId !in needed && mayTake(id)
             } ?: return null
         return FleetEdit.Begin(id, StepPurpose.Return, sightings.place(id), nowWallMillis = nowWallMillis)
     }
@@ -46,7 +46,7 @@
         (decision.situation.pending + decision.situation.away).mapTo(HashSet()) { it.poolId }
 
     private fun needy(decision: WaveDecision): List<String> =
-        decision.plan.poolWaits.keys.filter { poolId ->
+        decision.situation.pending.map { it.poolId }.distinct().filter { poolId ->
             val room = rooms[poolId]
             room != null &&
                 isBlocked(room) &&
@@ -70,14 +70,21 @@
     private fun spareInstances(): List<String> {
         val spareIds =
             control.configuration.pools
-                .filter { it.spare && (rooms[it.id]?.free ?: 0) > 0 }
-                .map { it.id }
+                .filter { it.spare }
+                .mapTo(HashSet()) { it.id }
         return fleet.poolIdByInstance
-            .filter { (id, poolId) -> poolId in spareIds && id !in fleet.stepByInstance && sightings.isLive(id) }
+            .filter { (id, poolId) -> poolId in spareIds && id !in fleet.homePoolIdByLent && mayTake(id) }
             .keys
-            .filter { it !in fleet.homePoolIdByLent }
             .sorted()
     }
+
+    private fun mayTake(id: String): Boolean {
+        val room = rooms[fleet.poolIdByInstance[id]] ?: return false
+        return id !in fleet.stepByInstance &&
+            sightings.isLive(id) &&
+            room.free > 0 &&
+            room.domainsAllow(sightings.place(id))
+    }
 }
 
 /** Remembers since when pools have had no room. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/MoveDirector.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/MoveDirector.kt
@@ -32,6 +32,7 @@
                 StepPurpose.Move(it.id),
                 sightings.place(it.instanceId),
                 nowWallMillis = nowWallMillis,
+                isDown = !sightings.isLive(it.instanceId),
             )
         }
 
@@ -39,7 +40,7 @@
     private fun mayBegin(move: InstanceMove): Boolean {
         val room = rooms[fleet.poolIdByInstance[move.instanceId]] ?: return true
         val isDown = !sightings.isLive(move.instanceId)
-        if (isDown) return move.toPoolId == null && room.planned < room.maxAway + room.lent
+        if (isDown) return move.toPoolId == null
         return room.free > 0 && room.domainsAllow(sightings.place(move.instanceId))
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveDirector.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveDirector.kt
@@ -17,14 +17,15 @@
  * @property situation instances of the wave.
  * @property waits what holds the whole wave back.
  * @property plan which instances to take out, and what holds back each pool.
- * @property slowed whether the wave goes slower because instances have not come back.
  */
 internal class WaveDecision(
     val situation: WaveSituation,
     val waits: List<WaveWait>,
     val plan: WavePlan,
-    val slowed: Boolean,
-)
+) {
+    /** Whether the wave may take instances out now. */
+    val mayBegin: Boolean = waits.all { it == WaveWait.SLOWED }
+}
 
 /** Decides what each wave of the document does now. */
 internal class WaveDirector(
@@ -53,8 +54,7 @@
 
     private fun decide(situation: WaveSituation): WaveDecision {
         val limit = limitOf(situation)
-        val slowed = situation.lost > 0
-        val waits = waitsOf(situation, limit, slowed)
+        val waits = waitsOf(situation, limit)
         val input =
             WavePlanInput(
                 wave = situation.wave,
@@ -67,23 +67,18 @@
                 poolWaits = poolWaitsOf(situation),
             )
         val plan = planner.plan(input)
-        val mayBegin = waits.none { it != WaveWait.SLOWED }
-        val followed =
-            if (mayBegin) {
-                plan
-            } else {
-                WavePlan(
-                    emptyList(),
-                    plan.poolWaits + plan.begin.map { it.poolId to PoolWait.WAVE },
-                )
-            }
-        return WaveDecision(situation, waits, followed, slowed)
+        val decision = WaveDecision(situation, waits, planner.plan(input))
+        return if (decision.mayBegin) decision else decision.withoutBegin()
+    }
+
+    private fun WaveDecision.withoutBegin(): WaveDecision {
+        val poolWaits = plan.poolWaits + plan.begin.map { it.poolId to PoolWait.WAVE }
+        return WaveDecision(situation, waits, WavePlan(emptyList(), poolWaits))
     }
 
     private fun waitsOf(
         situation: WaveSituation,
         limit: Int?,
-        slowed: Boolean,
     ): List<WaveWait> {
         if (situation.isFinished) return emptyList()
         val wave = situation.wave
@@ -93,7 +88,7 @@
             WaveWait.START_TIME.takeIf { nowWallMillis < wave.startAtWallMillis },
             WaveWait.MAINTENANCE_HOURS.takeIf { wave.hours?.contains(nowWallMillis) == false },
             holdWait(situation.record.hold),
-            WaveWait.SLOWED.takeIf { slowed },
+            WaveWait.SLOWED.takeIf { situation.lost > 0 },
             WaveWait.MAX_AT_ONCE.takeIf { limit != null && situation.away.size >= limit },
             WaveWait.LIST_OUTDATED.takeIf { !sightings.isCurrent(nowMillis, settings.maxListAgeMillis) },
         )
@@ -112,7 +107,7 @@
         val poolIds = (situation.pending + situation.away).mapTo(HashSet()) { it.poolId }
         val most = poolIds.sumOf { rooms[it]?.maxAway ?: 0 }
         val usual = minOf(most, situation.wave.maxAtOnce ?: most)
-        return situation.lost + maxOf(1, usual shr situation.lost)
+        return minOf(situation.wave.maxAtOnce ?: Int.MAX_VALUE, situation.lost + maxOf(1, usual shr situation.lost))
     }
 
     private fun poolWaitsOf(situation: WaveSituation): Map<String, PoolWait> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetBegin.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetBegin.kt
@@ -103,6 +103,7 @@
     edit: FleetEdit.Begin,
     configuration: Configuration,
 ): String? {
+    if (edit.isDown && destination(edit, configuration) == null) return null
     val pool = configuration.pools.firstOrNull { it.id == poolIdByInstance[edit.instanceId] } ?: return null
     val room = poolRooms(this, configuration, down = emptyMap()).getValue(pool.id)
     return when {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetEdit.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetEdit.kt
@@ -18,6 +18,7 @@
      * Takes [instanceId], which stands at [place], out of placement for [purpose].
      *
      * @property toPoolId pool to lend to; the other purposes name their pool themselves.
+     * @property isDown whether the platform's list shows it down, so that taking it out of the fleet costs nothing.
      */
     @Serializable
     @SerialName("begin-step")
@@ -27,6 +28,7 @@
         val place: InstancePlace,
         val toPoolId: String? = null,
         val nowWallMillis: Long,
+        val isDown: Boolean = false,
     ) : FleetEdit
 
     /** Edit of a step that exists; [phaseVersion] is its fencing token. */
