--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
@@ -123,11 +123,11 @@
         private val director =
             WaveDirector(planner, settings, control, sightings, demand, demandView, nowMillis, nowWallMillis)
         val rooms: Map<String, PoolRoom> = director.rooms
-        private val moves = MoveDirector(control, rooms, sightings, nowWallMillis)
+        private val moves by lazy { MoveDirector(control, rooms, sightings, nowWallMillis) }
         private val lending = Lending(control, rooms, sightings, blocked, nowMillis, nowWallMillis)
         private val steps = decideSteps()
         private val nowWall = nowWallMillis
-        val decisions: List<WaveDecision> = director.decide()
+        val decisions: List<WaveDecision> by lazy { director.decide() }
         val waitingMoves get() = moves.waiting
         val waits: Map<String, StepWait> = steps.mapNotNull { (id, step) -> step.wait?.let { id to it } }.toMap()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveDirector.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveDirector.kt
@@ -44,10 +44,11 @@
     /** Room of each pool, planned and unplanned absence together. */
     val rooms: Map<String, PoolRoom> = control.poolRooms(down)
 
-    private val serving =
+    private val serving by lazy {
         control.fleet.poolIdByInstance
             .filterKeys { it !in control.fleet.stepByInstance && it !in down }
             .map { (id, poolId) -> PlacedInstance(id, poolId, sightings.place(id)) }
+    }
 
     /** Decisions on all waves; at most the first that takes an instance out is to be followed. */
     fun decide(): List<WaveDecision> = configuration.waves.map { decide(WaveSituation(it, control, down, sightings)) }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveSituation.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveSituation.kt
@@ -60,17 +60,16 @@
     /** Whether every instance was maintained. */
     val isFinished: Boolean = waiting.isEmpty() && away.isEmpty() && elsewhere == 0
 
-    private val lostRacks = sightings.lostRacks()
+    private val lostRacks by lazy { sightings.lostRacks() }
 
     /** Whether instances fail after their maintenance far more often than those that wait for it. */
     val isHarmful: Boolean = failsAfterMaintenance()
 
     // Instances in a rack that is down as a whole say nothing about the wave.
     private fun failsAfterMaintenance(): Boolean {
-        val failed = members.count { it in record.finishedIds && failedAlone(it) }
-        val failedWaiting = waiting.count(::failedAlone)
+        val failed = members.count { it in down && it in record.finishedIds && failedAlone(it) }
         if (failed <= tolerated) return false
-        return failed * maxOf(1, waiting.size) > HARM_RATIO * failedWaiting * finished
+        return failed * maxOf(1, waiting.size) > HARM_RATIO * waiting.count(::failedAlone) * finished
     }
 
     private fun failedAlone(id: String): Boolean = down[id]?.let { it.rackId !in lostRacks } ?: false
