Account of requests: a hash chain per run of an entry, segments in the object store, verification

Each request is one record in memory; segments are compressed and stored in the background by put-if-absent, and copied to a peer of another availability zone while the store does not answer. Heads go into the chains of peers, so that a cut or forged chain shows.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -4,6 +4,9 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.delay
+import org.verbenagauge.entry.account.JobRecord
+import org.verbenagauge.entry.account.entryAccount
+import org.verbenagauge.entry.account.register
 import org.verbenagauge.entry.admission.AdmissionTicker
 import org.verbenagauge.entry.admission.JobService
 import org.verbenagauge.entry.caller.callerListener
@@ -31,6 +34,7 @@
 private const val STOP_POLL_MILLIS = 20L
 private const val LISTENER_GRACE_MILLIS = 500L
 private const val LISTENER_TIMEOUT_MILLIS = 2_000L
+private const val MIN_ACCOUNT_CLOSE_MILLIS = 2_000L
 private const val CONNECTIONS_PER_ENDPOINT = 64
 
 /** Root supervisor of one entry instance. */
@@ -54,6 +58,8 @@
 
     private val state = entryState(settings, platform, clock, log, ::publish)
 
+    private val account = entryAccount(settings.entry, state, clock, log)
+
     private val jobs =
         JobService(
             clock = clock,
@@ -67,7 +73,7 @@
                 ),
             rights = SplitRights(::partOf),
             freshness = state.service,
-            observer = { answers.labelValues(it.reason.verdict.headerValue, it.reason.code).inc() },
+            observer = ::answered,
             maxJobs = settings.limits.maxJobs,
             maxQueuedPerPool = settings.limits.maxQueuedPerPool,
         )
@@ -89,6 +95,7 @@
                 inForceLog,
                 state.service,
                 settings.administration,
+                account::status,
             ),
         )
 
@@ -98,6 +105,8 @@
         callers.start(wait = false)
         state.register(registry)
         state.children.forEach(supervisor::start)
+        account.register(registry)
+        supervisor.start(account)
         supervisor.start(inForceLog)
         supervisor.start(AdmissionTicker(jobs))
         log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
@@ -138,12 +147,19 @@
         while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
         state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
+        account.close(maxOf(stopByMillis, clock.monotonicMillis() + MIN_ACCOUNT_CLOSE_MILLIS))
         operators.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         supervisor.stop()
         log.write(Event.ENTRY_STOPPED, "entry '${settings.entry.id}' has stopped")
     }
 
+    private suspend fun answered(record: JobRecord) {
+        answers.labelValues(record.reason.verdict.headerValue, record.reason.code).inc()
+        account.answered(record)
+    }
+
     private fun publish(view: FleetView) {
+        account.changed(view.control)
         jobs.update(view.control.configuration, endpointsByPool(view))
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminApi.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminApi.kt
@@ -14,6 +14,7 @@
 import io.ktor.server.routing.routing
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import org.verbenagauge.entry.account.AccountStatus
 import org.verbenagauge.entry.state.Configuration
 import org.verbenagauge.entry.state.ConfigurationEdit
 import org.verbenagauge.entry.state.OperatorAccount
@@ -93,6 +94,7 @@
 internal class AdminApi(
     private val administration: Administration,
     private val keyMint: KeyMint,
+    private val accountStatus: () -> AccountStatus,
 ) {
     fun install(application: Application) {
         application.routing {
@@ -116,6 +118,9 @@
                 )
                 keyRoutes()
                 auditRoute()
+                get("account") {
+                    call.authorized { call.respondJson(AccountStatus.serializer(), accountStatus()) }
+                }
                 route("{...}") { handle { call.authorized { call.notFound() } } }
             }
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.operator
 
 import io.ktor.server.application.Application
+import org.verbenagauge.entry.account.AccountStatus
 import org.verbenagauge.entry.settings.AdministrationSettings
 import org.verbenagauge.entry.state.AuditTrail
 import org.verbenagauge.entry.state.ChangeLog
@@ -21,9 +22,10 @@
     inForceLog: InForceLog,
     freshness: Freshness,
     settings: AdministrationSettings,
+    accountStatus: () -> AccountStatus,
     keyMint: KeyMint = secureKeyMint(),
 ): AdministrationRoutes {
     val bootstrapKeySha256 = settings.bootstrapKeySha256.ifEmpty { null }
     val administration = Administration(changes, AuditTrail(table), inForceLog, freshness, bootstrapKeySha256)
-    return AdministrationRoutes { AdminApi(administration, keyMint).install(it) }
+    return AdministrationRoutes { AdminApi(administration, keyMint, accountStatus).install(it) }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
@@ -17,6 +17,7 @@
 import io.ktor.http.HttpMethod
 import io.ktor.server.testing.ApplicationTestBuilder
 import io.ktor.server.testing.testApplication
+import org.verbenagauge.entry.account.AccountStatus
 import org.verbenagauge.entry.settings.AdministrationSettings
 import org.verbenagauge.entry.state.ChangeLog
 import org.verbenagauge.entry.state.InForceLog
@@ -42,6 +43,7 @@
             inForceLog = InForceLog(table, { log.state.value.version }, "entry-0", clock),
             freshness = { fresh },
             settings = AdministrationSettings(sha256Hex("boot"), "0123456789abcdef0123456789abcdef"),
+            accountStatus = { AccountStatus(null, 0, 0, 0, 0, 0) },
             keyMint = { "drawn-${drawn++}" },
         )
 
