--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
@@ -28,11 +28,6 @@
 private const val OPERATORS = 3
 private const val MAX_NESTED = 2
 
-private val withoutDelays =
-    object : Random() {
-        override fun nextBits(bitCount: Int) = 0
-    }
-
 private class AskedChange(
     val request: ChangeRequest,
     val outcome: AdminOutcome,
@@ -44,7 +39,7 @@
     private val random = Random(seed)
     private val table = ScriptedTable()
     private val clock = FakeClock()
-    private val logs = List(OPERATORS) { changeLog(table, clock, withoutDelays) }
+    private val logs = List(OPERATORS) { changeLog(table, clock, pause = {}) }
     private val auditTrail = AuditTrail(table)
     private val operators =
         List(OPERATORS) { OperatorAccount("op-$it", sha256Hex("key-$it"), OperatorRight.entries.toSet()) }
@@ -142,7 +137,7 @@
 
         test("given a lost answer, when the operator sends the change again, then it counts once") {
             val table = ScriptedTable()
-            val log = changeLog(table, FakeClock(), withoutDelays)
+            val log = changeLog(table, FakeClock(), pause = {})
             val inForce = InForceLog(table, { 0L }, "entry", FakeClock())
             val administration = Administration(log, AuditTrail(table), inForce, { true }, sha256Hex("boot"))
             val operator = administration.operators().single()
