--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountFinding.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountFinding.kt
@@ -90,8 +90,8 @@
             "chain ${report.chain} has no end: records after ${report.lastSequence} may be missing"
                 .takeIf { !report.closed },
             (
-                "chain ${report.chain}: no peer holds a hash after record ${report.witnessedThrough}: who can write the " +
-                    "object store could have changed or cut the last $unwitnessed records without a trace"
+                "chain ${report.chain}: no peer holds a hash after record ${report.witnessedThrough}: who can write " +
+                    "the object store could have changed or cut the last $unwitnessed records without a trace"
             ).takeIf { unwitnessed > 0 },
             "chain ${report.chain}: ${report.counted} requests were only counted, without their order"
                 .takeIf { report.counted > 0 },
