Map each failure of the path to an endpoint to a verdict, row by row

The CIO engine took a chunked answer whose connection was lost for a whole one: the row HALF_CHUNKED_BODY gave 'served' with half of the body, and the channel carried no cause. The Apache engine of the Ktor client reports it. Its automatic retries are off, so that only the verdict decides on a retry. Non-idempotent work goes over connections that are never reused; idempotent work reuses connections that were idle for up to 2 s. An answer without Content-Length and without chunks is refused as answer-invalid, as its end cannot be told from a loss.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
@@ -41,6 +41,12 @@
     ),
     METHOD_NOT_ALLOWED("method-not-allowed", 405, Verdict.NOT_RUN, "Jobs are submitted with POST."),
     QUEUE_FULL("queue-full", 503, Verdict.NOT_RUN, "The queue is full; send the request again later."),
+    QUEUE_SHED(
+        "queue-shed",
+        503,
+        Verdict.NOT_RUN,
+        "The request made room for more urgent work or for a team below its share; send it again later.",
+    ),
     ENTRY_FULL("entry-full", 503, Verdict.NOT_RUN, "The entry instance holds too many requests; send it again later."),
     ENTRY_STOPPING("entry-stopping", 503, Verdict.NOT_RUN, "The entry instance is stopping; send the request again."),
     ENTRY_STALE(
@@ -64,6 +70,15 @@
         Verdict.MAY_HAVE_RUN,
         "The endpoint did not answer in time; check before sending the request again.",
     ),
+    ANSWER_INVALID(
+        "answer-invalid",
+        502,
+        Verdict.MAY_HAVE_RUN,
+        "The answer of the endpoint could not be read whole; check before sending the request again.",
+    ),
+    ENDPOINT_DRAINING("endpoint-draining", 503, Verdict.NOT_RUN, "The endpoint is draining; send the request again."),
+    POOL_EMPTY("pool-empty", 503, Verdict.NOT_RUN, "The pool of the queue has no instance; ask an operator."),
+    TEAM_LIMIT_ZERO("team-limit-zero", 403, Verdict.NOT_RUN, "The upper limit of the team is 0; ask an operator."),
     ANSWER_TOO_LARGE("answer-too-large", 502, Verdict.RAN, "The answer of the endpoint exceeds the limit."),
     INTERNAL_ERROR(
         "internal-error",
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointClient.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointClient.kt
@@ -1,27 +1,39 @@
 package org.verbenagauge.entry.placement
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.engine.apache5.Apache5
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.request.header
-import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.content.ByteArrayContent
 import io.ktor.utils.io.readRemaining
-import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.readByteArray
+import org.apache.hc.client5.http.impl.async.HttpAsyncClientBuilder
+import org.apache.hc.core5.http.HttpException
+import org.apache.hc.core5.util.TimeValue
 import org.verbenagauge.entry.EndpointAnswer
 import org.verbenagauge.entry.Job
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.Reason
-import java.io.IOException
 import java.net.ConnectException
 
+/** Names of the headers between entries and endpoints. */
+public object EndpointHeaders {
+    /** With the value true on status 503: the endpoint drains, has not run the request and never will. */
+    public const val DRAINING: String = "Endpoint-Draining"
+
+    /** Longest run in milliseconds; the endpoint ends the request when it has passed. */
+    public const val MAX_RUN_MILLIS: String = "Verbenagauge-Max-Run-Millis"
+}
+
 /** Sends a job to an endpoint. */
 public interface EndpointClient {
     /**
@@ -55,21 +67,31 @@
 private class HttpEndpointClient(
     private val limits: EndpointClientLimits,
 ) : EndpointClient {
-    private val client =
-        HttpClient(CIO) {
+    private val freshConnections = client { setConnectionReuseStrategy { _, _, _ -> false } }
+    private val keptConnections = client { }
+
+    private fun client(customize: HttpAsyncClientBuilder.() -> Unit) =
+        HttpClient(Apache5) {
             expectSuccess = false
             followRedirects = false
             engine {
-                requestTimeout = 0
-                maxConnectionsCount = Int.MAX_VALUE
-                endpoint {
-                    connectTimeout = limits.connectTimeoutMillis
-                    connectAttempts = 1
-                    maxConnectionsPerRoute = limits.maxConnectionsPerEndpoint
+                connectTimeout = limits.connectTimeoutMillis
+                connectionRequestTimeout = limits.connectTimeoutMillis
+                socketTimeout = 0
+                configureConnectionManager {
+                    setMaxConnPerRoute(limits.maxConnectionsPerEndpoint)
+                    setMaxConnTotal(Int.MAX_VALUE)
+                }
+                customizeClient {
+                    // Only the verdict decides on a retry; the library must not send a request a second time.
+                    disableAutomaticRetries()
+                    evictIdleConnections(TimeValue.ofMilliseconds(IDLE_CONNECTION_MILLIS))
+                    customize()
                 }
             }
         }
 
+    @Suppress("TooGenericExceptionCaught")
     override suspend fun send(
         job: Job,
         address: EndpointAddress,
@@ -77,55 +99,82 @@
         maxRunMillis: Long,
     ): JobAnswer =
         try {
-            withTimeout(maxRunMillis) { exchange(job, address, idempotent) }
-        } catch (e: TimeoutCancellationException) {
-            JobAnswer(Reason.ANSWER_TIMEOUT, detail = "endpoint '${address.instanceId}', $maxRunMillis ms")
-        } catch (e: ConnectException) {
-            connectFailed(address, e)
-        } catch (e: ConnectTimeoutException) {
-            connectFailed(address, e)
-        } catch (e: IOException) {
-            JobAnswer(Reason.CONNECTION_LOST, detail = "endpoint '${address.instanceId}': ${e.message}")
+            withTimeoutOrNull(maxRunMillis) { exchange(job, address, idempotent, maxRunMillis) }
+                ?: JobAnswer(Reason.ANSWER_TIMEOUT, detail = "endpoint '${address.instanceId}', $maxRunMillis ms")
+        } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
+            failure(address, e)
         }
 
-    private fun connectFailed(
+    private fun failure(
         address: EndpointAddress,
         cause: Exception,
-    ) = JobAnswer(Reason.CONNECT_FAILED, detail = "endpoint '${address.instanceId}': ${cause.message}")
+    ) = JobAnswer(reasonOf(cause), detail = "endpoint '${address.instanceId}': ${cause.message}")
+
+    // The client throws the connect exceptions only before the connection is open, hence before the first byte.
+    private fun reasonOf(cause: Exception): Reason =
+        when (cause) {
+            is ConnectException, is ConnectTimeoutException -> Reason.CONNECT_FAILED
+            is HttpException, is IllegalArgumentException -> Reason.ANSWER_INVALID
+            else -> Reason.CONNECTION_LOST
+        }
+
+    // A connection that was idle may have gone silent, so that only idempotent work goes over it.
+    private fun client(idempotent: Boolean) = if (idempotent) keptConnections else freshConnections
 
     private suspend fun exchange(
         job: Job,
         address: EndpointAddress,
         idempotent: Boolean,
-    ): JobAnswer {
-        val response =
-            client.post("http://${address.host}:${address.port}/v1/queues/${job.queueId}/jobs") {
+        maxRunMillis: Long,
+    ): JobAnswer =
+        client(idempotent)
+            .preparePost("http://${address.host}:${address.port}/v1/queues/${job.queueId}/jobs") {
                 header(REQUEST_ID_HEADER, job.requestId)
+                header(MAX_RUN_HEADER, maxRunMillis)
                 job.idempotencyKey?.let { header(IDEMPOTENCY_KEY_HEADER, it) }
                 job.contentType?.let { header(HttpHeaders.ContentType, it) }
-                // A fresh connection has proved alive; a kept one may have gone silent.
                 if (!idempotent) header(HttpHeaders.Connection, "close")
                 setBody(ByteArrayContent(job.body))
-            }
-        return answer(response, address)
-    }
+            }.execute { answer(it, address) }
 
     private suspend fun answer(
         response: HttpResponse,
         address: EndpointAddress,
     ): JobAnswer {
-        val body = response.bodyAsChannel().readRemaining(limits.maxAnswerBytes + 1).readByteArray()
+        if (isDraining(response)) {
+            return JobAnswer(Reason.ENDPOINT_DRAINING, detail = "endpoint '${address.instanceId}'")
+        }
+        val length = response.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        val chunked = response.headers[HttpHeaders.TransferEncoding] != null
+        if (length == null && !chunked && response.status !in statusesWithoutBody) {
+            val detail = "endpoint '${address.instanceId}': neither Content-Length nor chunks, its end cannot be told"
+            return JobAnswer(Reason.ANSWER_INVALID, detail = detail)
+        }
+        val channel = response.bodyAsChannel()
+        val body = channel.readRemaining(limits.maxAnswerBytes + 1).readByteArray()
+        // The bounded read ends quietly when the connection is lost in mid-body.
+        channel.closedCause?.let { throw it }
         if (body.size > limits.maxAnswerBytes) {
-            return JobAnswer(
-                Reason.ANSWER_TOO_LARGE,
-                detail = "endpoint '${address.instanceId}', more than ${limits.maxAnswerBytes} bytes",
-            )
+            val detail = "endpoint '${address.instanceId}', more than ${limits.maxAnswerBytes} bytes"
+            return JobAnswer(Reason.ANSWER_TOO_LARGE, detail = detail)
+        }
+        if (length != null && length != body.size.toLong()) {
+            val detail = "endpoint '${address.instanceId}': ${body.size} of $length bytes"
+            return JobAnswer(Reason.CONNECTION_LOST, detail = detail)
         }
         val answer = EndpointAnswer(response.status.value, response.headers[HttpHeaders.ContentType], body)
         return JobAnswer(Reason.SERVED, endpointAnswer = answer)
     }
 
+    private fun isDraining(response: HttpResponse): Boolean =
+        response.status == HttpStatusCode.ServiceUnavailable &&
+            response.headers[EndpointHeaders.DRAINING].equals("true", ignoreCase = true)
+
     private companion object {
+        const val MAX_RUN_HEADER = EndpointHeaders.MAX_RUN_MILLIS
+        const val IDLE_CONNECTION_MILLIS = 2_000L
+        val statusesWithoutBody = setOf(HttpStatusCode.NoContent, HttpStatusCode.NotModified)
         const val REQUEST_ID_HEADER = "X-Request-Id"
         const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
     }
