--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -17,6 +17,7 @@
 import org.verbenagauge.entry.placement.EndpointClientLimits
 import org.verbenagauge.entry.placement.endpointsByPool
 import org.verbenagauge.entry.placement.httpEndpointClient
+import org.verbenagauge.entry.placement.placementLog
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import org.verbenagauge.entry.rights.fixedSplit
@@ -62,7 +63,7 @@
                     EndpointClientLimits(
                         connectTimeoutMillis = settings.limits.connectTimeoutMillis,
                         maxAnswerBytes = settings.limits.maxAnswerBytes,
-                        maxConnectionsPerEndpoint = CONNECTIONS_PER_ENDPOINT,
+                        maxConnectionsPerEndpoint = connectionsPerEndpoint(),
                     ),
                 ),
             rights = SplitRights(::partOf),
@@ -70,6 +71,7 @@
             observer = { answers.labelValues(it.reason.verdict.headerValue, it.reason.code).inc() },
             maxJobs = settings.limits.maxJobs,
             maxQueuedPerPool = settings.limits.maxQueuedPerPool,
+            notify = placementLog(log),
         )
 
     private val inForceLog = InForceLog(state.platform.table, state.service, settings.entry.id, clock)
@@ -133,8 +135,8 @@
     public suspend fun stop() {
         stopping = true
         log.write(Event.ENTRY_STOPPING, "entry '${settings.entry.id}' stops with ${jobs.heldCount} requests held")
-        jobs.stopAccepting()
         val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
+        jobs.stopAccepting(stopByMillis)
         while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
         state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
@@ -147,6 +149,9 @@
         jobs.update(view.control.configuration, endpointsByPool(view))
     }
 
+    private fun connectionsPerEndpoint(): Int =
+        maxOf(1, fixedSplit(CONNECTIONS_PER_ENDPOINT, settings.entry.index, settings.entry.count))
+
     private fun partOf(resource: Resource): Int {
         val limit = limitOf(resource, state.changes.state.value)
         val index = (settings.entry.index + resource.hashCode()).mod(settings.entry.count)
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/BacklogBounds.kt
@@ -0,0 +1,124 @@
+package org.verbenagauge.entry.admission
+
+import org.verbenagauge.entry.state.QueueClass
+import java.util.EnumMap
+import java.util.TreeSet
+
+/** Whether a new request may wait. */
+internal sealed interface BoundsOutcome {
+    /** There is place for it. */
+    data object Fits : BoundsOutcome
+
+    /** There is place for it once the request [victimId] is refused. */
+    data class Replaces(
+        val victimId: Long,
+    ) : BoundsOutcome
+
+    /** There is no place. */
+    data object Full : BoundsOutcome
+}
+
+/**
+ * Bounds of the waiting requests of one pool and of each of its queues. A full bound makes room by refusing the
+ * newest request of less urgent work, else of the team that waits with the most in relation to its weight.
+ *
+ * Method: longest queue drop (Suter et al., 1998), weighted.
+ */
+internal class BacklogBounds(
+    private val maxQueuedPerPool: Int,
+) {
+    private val byQueue = HashMap<String, Backlog>()
+    private val byClass = EnumMap<QueueClass, Backlog>(QueueClass::class.java)
+    private var size = 0
+
+    fun add(
+        waiting: Waiting,
+        shareWeight: Int,
+    ) {
+        backlogs(waiting).forEach { it.add(waiting, shareWeight) }
+        size++
+    }
+
+    fun remove(waiting: Waiting) {
+        backlogs(waiting).forEach { it.remove(waiting) }
+        if (byQueue.getValue(waiting.queueId).size == 0) byQueue.remove(waiting.queueId)
+        size--
+    }
+
+    fun hasPlace(
+        queueId: String,
+        maxQueued: Int,
+    ): Boolean = size < maxQueuedPerPool && (byQueue[queueId]?.size ?: 0) < maxQueued
+
+    fun check(
+        waiting: Waiting,
+        shareWeight: Int,
+        maxQueued: Int,
+    ): BoundsOutcome {
+        val queue = byQueue[waiting.queueId]
+        val victimId =
+            when {
+                queue != null && queue.size >= maxQueued -> queue.longerThan(waiting.teamId, shareWeight)
+                size >= maxQueuedPerPool -> lessUrgent(waiting, shareWeight)
+                else -> return BoundsOutcome.Fits
+            }
+        return victimId?.let { BoundsOutcome.Replaces(it) } ?: BoundsOutcome.Full
+    }
+
+    private fun lessUrgent(
+        waiting: Waiting,
+        shareWeight: Int,
+    ): Long? {
+        val below = QueueClass.entries.filter { it > waiting.queueClass }.reversed()
+        return below.firstNotNullOfOrNull { byClass[it]?.newestOfLongest() }
+            ?: byClass[waiting.queueClass]?.longerThan(waiting.teamId, shareWeight)
+    }
+
+    private fun backlogs(waiting: Waiting) =
+        listOf(
+            byQueue.getOrPut(waiting.queueId) { Backlog() },
+            byClass.getOrPut(waiting.queueClass) { Backlog() },
+        )
+
+    private class Backlog {
+        private val byTeam = HashMap<String, TeamPart>()
+        var size = 0
+            private set
+
+        fun add(
+            waiting: Waiting,
+            shareWeight: Int,
+        ) {
+            val part = byTeam.getOrPut(waiting.teamId) { TeamPart() }
+            part.shareWeight = shareWeight
+            part.ids.add(waiting.id)
+            size++
+        }
+
+        fun remove(waiting: Waiting) {
+            val part = byTeam.getValue(waiting.teamId)
+            part.ids.remove(waiting.id)
+            if (part.ids.isEmpty()) byTeam.remove(waiting.teamId)
+            size--
+        }
+
+        fun newestOfLongest(): Long? = longest()?.ids?.last()
+
+        // Newest request of the longest team, if that is still longer than the team would be with one more.
+        fun longerThan(
+            teamId: String,
+            shareWeight: Int,
+        ): Long? {
+            val own = ((byTeam[teamId]?.ids?.size ?: 0) + 1).toDouble() / shareWeight
+            return longest()?.takeIf { it.length > own }?.ids?.last()
+        }
+
+        private fun longest() = byTeam.values.maxByOrNull { it.length }
+    }
+
+    private class TeamPart {
+        val ids = TreeSet<Long>()
+        var shareWeight = 1
+        val length get() = ids.size.toDouble() / shareWeight
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -1,109 +1,332 @@
 package org.verbenagauge.entry.admission
 
 import org.verbenagauge.entry.Reason
-import org.verbenagauge.entry.placement.EndpointAddress
+import org.verbenagauge.entry.Verdict
 import org.verbenagauge.entry.placement.EndpointPool
 import org.verbenagauge.entry.placement.EndpointView
+import org.verbenagauge.entry.placement.Placement
+import org.verbenagauge.entry.placement.PlacementNeed
+import org.verbenagauge.entry.placement.PlacementNotice
+import org.verbenagauge.entry.rights.FleetService
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.Rights
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.Team
-
-/** What the shell must do after an event. */
-public sealed interface DispatchAction {
-    /** Request that the action concerns. */
-    public val id: Long
-
-    /** Send the request to [address]. */
-    public data class Start(
-        override val id: Long,
-        val address: EndpointAddress,
-    ) : DispatchAction
-
-    /** Answer the request with [reason], which always carries the verdict not-run. */
-    public data class Refuse(
-        override val id: Long,
-        val reason: Reason,
-    ) : DispatchAction
-}
+import org.verbenagauge.entry.rights.noFleetService
 
 /**
- * Decides when a waiting request starts and on which endpoint, for one pool. A pure decision: it knows
- * no clock and does no I/O, and its caller makes sure that one event is handled at a time.
+ * Decides when a waiting request starts, on which endpoint, whether it is tried again, and what is refused,
+ * for one pool. A pure decision: it knows no clock and does no I/O, and its caller makes sure that one event
+ * is handled at a time.
+ *
+ * @param maxQueued requests that wait at once for the pool.
+ * @param seed seed of the choices among endpoints.
  */
 public class Dispatcher(
+    private val poolId: String,
     private val rights: Rights,
     private val maxQueued: Int,
+    private val fleetService: FleetService = noFleetService,
+    seed: Long = 0,
 ) {
     private val waiting = FairQueue()
-    private val endpoints = EndpointPool(rights)
-    private val running = HashMap<Long, Running>()
+    private val bounds = BacklogBounds(maxQueued)
+    private val endpoints = EndpointPool(rights, seed)
+    private val runTimes = RunTimes()
+    private val retryBudget = RetryBudget()
+    private val held = HeldRights(rights)
+    private val requests = HashMap<Long, RequestState>()
+    private val runningByTeam = HashMap<String, Int>()
+    private val startedElsewhereByTeam = HashMap<String, Long>()
+    private var running = 0
+    private var stopByMillis: Long? = null
 
     /** Number of waiting requests. */
     public val queued: Int get() = waiting.size
 
     /** Number of running requests. */
-    public val runningCount: Int get() = running.size
+    public val runningCount: Int get() = running
+
+    /** Number of requests whose rights are held because they may still be running. */
+    public val heldCount: Int get() = held.size
+
+    /** Endpoints that are ejected now. */
+    public val ejectedIds: Set<String> get() = endpoints.ejectedIds
+
+    /** Teams that have waited here, for [waitingOf]. */
+    public val teamIds: Set<String> get() = waiting.teamIds
 
-    /** Handles the arrival of the request [id] of [team] on [queue]. */
+    /** Number of waiting requests of [teamId]. */
+    public fun waitingOf(teamId: String): Int = waiting.waitingOf(teamId)
+
+    /** Returns what operators should see, once. */
+    public fun takeNotices(): List<PlacementNotice> = endpoints.takeNotices()
+
+    /** Handles the arrival of [request]. */
     public fun submit(
-        id: Long,
-        team: Team,
-        queue: Queue,
-        startByMillis: Long,
+        request: JobRequest,
         nowMillis: Long,
     ): List<DispatchAction> {
-        if (!endpoints.isServing()) return listOf(DispatchAction.Refuse(id, Reason.NO_ENDPOINT))
-        if (startByMillis <= nowMillis) return listOf(DispatchAction.Refuse(id, Reason.DEADLINE_EXCEEDED))
-        if (waiting.size >= maxQueued) return listOf(DispatchAction.Refuse(id, Reason.QUEUE_FULL))
-        waiting.add(Waiting(id, team.id, queue.queueClass, startByMillis), team.shareWeight)
-        return startAll(nowMillis)
+        val state = RequestState(request, runTimes.expectedMillis(request.queue.id, request.team.id))
+        val hopeless = hopelessReason(state, nowMillis)
+        if (hopeless != null) return listOf(refuse(state, hopeless))
+        val victim =
+            when (val outcome = bounds.check(state.waiting, request.team.shareWeight, request.queue.maxQueued)) {
+                is BoundsOutcome.Fits -> null
+                is BoundsOutcome.Full -> return listOf(refuse(state, Reason.QUEUE_FULL))
+                is BoundsOutcome.Replaces -> withdraw(outcome.victimId)
+            }
+        requests[request.id] = state
+        enqueue(state)
+        return listOfNotNull(victim?.let { refuse(it, Reason.QUEUE_SHED) }) + startAll(nowMillis)
     }
 
-    /** Handles that the caller of [id] has left; true when the request was waiting and will not run. */
-    public fun cancel(id: Long): Boolean = waiting.remove(id)
+    /**
+     * Handles that the caller of [id] has left. A waiting request will not run; a running one keeps its slot
+     * and its right to its end and is not tried again.
+     *
+     * @return whether the request was waiting.
+     */
+    public fun cancel(id: Long): Boolean {
+        val state = requests[id] ?: return false
+        state.cancelled = true
+        if (state.placement != null) return false
+        withdraw(id)
+        return true
+    }
 
-    /** Handles that the request [id] has ended on its endpoint. */
-    public fun finish(
-        id: Long,
+    /** Handles the end of an attempt. */
+    public fun ended(
+        end: AttemptEnd,
         nowMillis: Long,
     ): List<DispatchAction> {
-        val ended = running.remove(id) ?: return emptyList()
-        rights.release(Resource.Team(ended.teamId))
-        rights.release(Resource.Slot(ended.instanceId))
-        return startAll(nowMillis)
+        val state = requests[end.id] ?: return emptyList()
+        val placement = state.placement ?: return emptyList()
+        leaveEndpoint(state, placement, end, nowMillis)
+        if (end.reason.verdict != Verdict.NOT_RUN) state.mayHaveRun = true
+        val mayHelp = learn(state, placement, end, nowMillis)
+        val own =
+            when {
+                mayHelp && isRetryAllowed(state, end, nowMillis) -> retry(state, placement, nowMillis)
+                else -> conclude(state)
+            }
+        return listOfNotNull(own) + startAll(nowMillis)
     }
 
-    /** Handles a new view of the pool. */
+    /** Handles a new view of the pool, of which [maxAway] instances may be away. */
     public fun update(
         views: List<EndpointView>,
+        maxAway: Int,
+        nowMillis: Long,
+    ): List<DispatchAction> {
+        endpoints.update(views, maxAway)
+        return startAll(nowMillis)
+    }
+
+    /** Refuses what has waited too long and starts what may start, also by rights that were gained elsewhere. */
+    public fun tick(nowMillis: Long): List<DispatchAction> {
+        held.releaseDue(nowMillis)
+        chargeServiceElsewhere()
+        waiting.unblockAll()
+        endpoints.reopenAll()
+        return startAll(nowMillis)
+    }
+
+    /**
+     * Starts only what is sure to end before [stopByMillis], and refuses the rest as soon as that can't be;
+     * new requests are not submitted any more.
+     */
+    public fun stop(
+        stopByMillis: Long,
         nowMillis: Long,
     ): List<DispatchAction> {
-        endpoints.update(views)
+        this.stopByMillis = stopByMillis
         return startAll(nowMillis)
     }
 
-    /** Refuses what has waited too long and starts what may start. */
-    public fun tick(nowMillis: Long): List<DispatchAction> = startAll(nowMillis)
+    // Returns why the request can't run, or not in time, or null.
+    private fun hopelessReason(
+        state: RequestState,
+        nowMillis: Long,
+    ): Reason? {
+        val request = state.request
+        return when {
+            endpoints.isEmpty -> Reason.POOL_EMPTY
+            request.team.maxRunning == 0 -> Reason.TEAM_LIMIT_ZERO
+            !endpoints.isServing() -> Reason.NO_ENDPOINT
+            stopByMillis != null -> Reason.ENTRY_STOPPING
+            request.startByMillis <= nowMillis -> Reason.DEADLINE_EXCEEDED
+            nowMillis + expectedWaitMillis(state) > request.startByMillis -> Reason.DEADLINE_UNREACHABLE
+            else -> null
+        }
+    }
+
+    // The slots of this entry are those in use, as long as anything waits; a team at its limit has those it uses.
+    private fun expectedWaitMillis(state: RequestState): Double {
+        if (running == 0) return 0.0
+        val ofPool = waiting.workAheadMillis(state.waiting, state.request.team.shareWeight) / running
+        val ofTeam = runningByTeam[state.request.team.id] ?: return ofPool
+        if (rights.free(Resource.Team(state.request.team.id)) > 0) return ofPool
+        return maxOf(ofPool, waiting.workOfTeamMillis(state.waiting) / ofTeam)
+    }
+
+    private fun refuse(
+        state: RequestState,
+        reason: Reason,
+    ): DispatchAction {
+        // A refusal says not-run, which an earlier attempt may belie.
+        if (state.mayHaveRun) return DispatchAction.Deliver(state.request.id)
+        val retryAfterMillis = maxOf(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis(state).toLong())
+        return DispatchAction.Refuse(state.request.id, reason, retryAfterMillis)
+    }
+
+    private fun enqueue(state: RequestState) {
+        waiting.add(state.waiting, state.request.team.shareWeight)
+        bounds.add(state.waiting, state.request.team.shareWeight)
+    }
+
+    private fun withdraw(id: Long): RequestState? {
+        val removed = waiting.remove(id) ?: return null
+        bounds.remove(removed)
+        return requests.remove(id)
+    }
 
     private fun startAll(nowMillis: Long): List<DispatchAction> {
-        val expired = waiting.expire(nowMillis).map { DispatchAction.Refuse(it.id, Reason.DEADLINE_EXCEEDED) }
-        return expired + generateSequence { startOne() }
+        val expired = waiting.advance(nowMillis)
+        expired.forEach(bounds::remove)
+        val refused = expired.mapNotNull { requests.remove(it.id) }.map { refuse(it, Reason.DEADLINE_EXCEEDED) }
+        val started = ArrayList<DispatchAction>(refused)
+        while (true) started += startOne(nowMillis) ?: return started
     }
 
-    private fun startOne(): DispatchAction.Start? {
-        val address = endpoints.take(avoid = emptySet()) ?: return null
-        val next = waiting.poll { rights.tryTake(Resource.Team(it)) }
-        if (next == null) {
-            rights.release(Resource.Slot(address.instanceId))
+    private fun startOne(nowMillis: Long): DispatchAction? {
+        if (waiting.size == 0 || !endpoints.mayHaveSlot(nowMillis)) return null
+        val next = waiting.peek { rights.tryTake(Resource.Team(it)) } ?: return null
+        val state = requests.getValue(next.id)
+        if (isTooLateForStop(state, nowMillis)) {
+            giveBackTeamRight(next.teamId)
+            withdraw(next.id)
+            return refuse(state, Reason.ENTRY_STOPPING)
+        }
+        val placement = endpoints.take(state.need(nowMillis), nowMillis)
+        if (placement == null) {
+            giveBackTeamRight(next.teamId)
             return null
         }
-        running[next.id] = Running(next.teamId, address.instanceId)
-        return DispatchAction.Start(next.id, address)
+        start(state, placement, nowMillis)
+        return DispatchAction.Start(next.id, placement.address)
+    }
+
+    private fun isTooLateForStop(
+        state: RequestState,
+        nowMillis: Long,
+    ): Boolean = stopByMillis?.let { nowMillis + state.request.queue.maxRunMillis > it } ?: false
+
+    private fun start(
+        state: RequestState,
+        placement: Placement,
+        nowMillis: Long,
+    ) {
+        waiting.start(state.request.id)
+        bounds.remove(state.waiting)
+        if (state.attempts == 0) retryBudget.countRequest()
+        state.attempts++
+        state.placement = placement
+        state.startedAtMillis = nowMillis
+        running++
+        runningByTeam.merge(state.request.team.id, 1, Int::plus)
+    }
+
+    private fun leaveEndpoint(
+        state: RequestState,
+        placement: Placement,
+        end: AttemptEnd,
+        nowMillis: Long,
+    ) {
+        val teamId = state.request.team.id
+        val instanceId = placement.address.instanceId
+        running--
+        if (runningByTeam.merge(teamId, -1, Int::plus) == 0) runningByTeam.remove(teamId)
+        state.placement = null
+        if (end.reason.verdict == Verdict.MAY_HAVE_RUN) {
+            // The endpoint may have begun as late as now, and ends the request after its longest run.
+            held.add(HeldRights.Hold(teamId, instanceId, nowMillis + state.request.queue.maxRunMillis))
+            return
+        }
+        giveBackTeamRight(teamId)
+        rights.release(Resource.Slot(instanceId))
+        endpoints.released(instanceId)
+    }
+
+    private fun giveBackTeamRight(teamId: String) {
+        rights.release(Resource.Team(teamId))
+        waiting.unblock(teamId)
+    }
+
+    // Returns whether another endpoint may do better.
+    private fun learn(
+        state: RequestState,
+        placement: Placement,
+        end: AttemptEnd,
+        nowMillis: Long,
+    ): Boolean {
+        val request = state.request
+        val instanceId = placement.address.instanceId
+        val runMillis = (nowMillis - state.startedAtMillis).toDouble()
+        val didRun = end.reason.verdict != Verdict.NOT_RUN
+        waiting.charge(request.team.id, (if (didRun) runMillis else 0.0) - state.waiting.expectedRunMillis)
+        if (didRun) runTimes.add(request.queue.id, request.team.id, runMillis)
+        return when {
+            end.reason == Reason.ENDPOINT_DRAINING -> endpoints.draining(instanceId, nowMillis).let { true }
+            end.reason == Reason.CONNECT_FAILED -> endpoints.failed(instanceId, request.id, null, nowMillis)
+            end.failedOnEndpoint || end.reason in failuresAfterStart ->
+                endpoints.failed(instanceId, request.id, request.jobKey.value, nowMillis)
+            end.reason == Reason.SERVED ->
+                endpoints.succeeded(placement, request.jobKey, runMillis).let { false }
+            else -> endpoints.endedWithoutEvidence(placement).let { false }
+        }
+    }
+
+    private fun isRetryAllowed(
+        state: RequestState,
+        end: AttemptEnd,
+        nowMillis: Long,
+    ): Boolean {
+        val queue = state.request.queue
+        val mayRunAgain = queue.idempotent || end.reason.verdict == Verdict.NOT_RUN
+        return mayRunAgain &&
+            !state.cancelled &&
+            state.attempts < MAX_ATTEMPTS &&
+            nowMillis < state.request.startByMillis &&
+            bounds.hasPlace(queue.id, queue.maxQueued) &&
+            retryBudget.tryTake()
+    }
+
+    private fun retry(
+        state: RequestState,
+        placement: Placement,
+        nowMillis: Long,
+    ): DispatchAction? {
+        state.avoid(placement.address.instanceId, nowMillis + STRICT_RETRY_MILLIS)
+        enqueue(state)
+        return null
+    }
+
+    private fun conclude(state: RequestState): DispatchAction {
+        requests.remove(state.request.id)
+        return DispatchAction.Deliver(state.request.id)
+    }
+
+    private fun chargeServiceElsewhere() {
+        for (teamId in waiting.teamIds) {
+            val total = fleetService.startedElsewhere(poolId, teamId)
+            val known = startedElsewhereByTeam.put(teamId, total) ?: continue
+            if (total > known) waiting.charge(teamId, (total - known) * runTimes.meanOfAllMillis)
+        }
     }
 
-    private class Running(
-        val teamId: String,
-        val instanceId: String,
-    )
+    private companion object {
+        const val MAX_ATTEMPTS = 3
+        const val MIN_RETRY_AFTER_MILLIS = 100L
+        const val STRICT_RETRY_MILLIS = 200L
+        val failuresAfterStart = setOf(Reason.CONNECTION_LOST, Reason.ANSWER_TIMEOUT, Reason.ANSWER_INVALID)
+    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
@@ -1,106 +1,230 @@
 package org.verbenagauge.entry.admission
 
-import org.verbenagauge.entry.state.QueueClass
-import java.util.TreeMap
+import java.util.EnumMap
+import java.util.PriorityQueue
+import java.util.TreeSet
 
 /**
- * One waiting request.
+ * Waiting requests of one pool in the order of service: by lane, then by the run time that each team was
+ * charged for in relation to its weight, then by arrival.
  *
- * @property id identifies the request within the process.
- * @property teamId team that pays for it.
- * @property queueClass urgency.
- * @property startByMillis monotonic time by which it must have started.
- */
-public data class Waiting(
-    val id: Long,
-    val teamId: String,
-    val queueClass: QueueClass,
-    val startByMillis: Long,
-)
-
-/**
- * Waiting requests of one pool in the order of service: by class, then by weighted share of the team,
- * then by arrival.
+ * Method: start-time fair queueing (Goyal, Vin and Cheng, 1996) over run time. A request is charged with the
+ * expected run time when it starts; [charge] corrects it when the real one is known. A team that comes back
+ * after a pause starts at the virtual time of the others and gets no credit for the pause.
  *
- * Method: start-time fair queueing (Goyal, Vin and Cheng, 1996) with a cost of one slot per request.
+ * A lane that was passed over [MAX_PASSED_OVER] times while it had work is served next, so that none starves.
  */
 public class FairQueue {
-    private val lanes = QueueClass.entries.associateWith { Lane() }
+    private val teams = HashMap<String, TeamBacklog>()
+    private val ready = EnumMap<Lane, TreeSet<TeamBacklog>>(Lane::class.java)
     private val positions = HashMap<Long, Position>()
+    private val startBy = PriorityQueue<Position>(compareBy { it.waiting.startByMillis })
+    private val rising = PriorityQueue<Position>(compareBy { it.waiting.riseAtMillis })
+    private val passedOver = IntArray(Lane.entries.size)
+    private val workMillisByLane = DoubleArray(Lane.entries.size)
+    private val weightByLane = IntArray(Lane.entries.size)
+    private var virtualTime = 0.0
+
+    init {
+        Lane.entries.forEach { ready[it] = TreeSet() }
+    }
 
     /** Number of waiting requests. */
     public val size: Int get() = positions.size
 
+    /** Teams that have had requests here. */
+    public val teamIds: Set<String> get() = teams.keys
+
+    /** Number of waiting requests of [teamId]. */
+    public fun waitingOf(teamId: String): Int = teams[teamId]?.size ?: 0
+
     /** Adds [waiting] with the weight of its team. */
     public fun add(
         waiting: Waiting,
         shareWeight: Int,
     ) {
-        val lane = lanes.getValue(waiting.queueClass)
-        positions[waiting.id] = Position(lane, lane.add(waiting, shareWeight))
+        val team = teams.getOrPut(waiting.teamId) { TeamBacklog(waiting.teamId, shareWeight) }
+        if (team.size == 0) moveTo(team, maxOf(team.virtualTime, currentVirtualTime()))
+        team.shareWeight = shareWeight
+        val position = Position(waiting, team, Lane.of(waiting.queueClass))
+        positions[waiting.id] = position
+        startBy.add(position)
+        if (waiting.riseAtMillis != null) rising.add(position)
+        enter(position)
     }
 
-    /** Removes the request [id]; false when it does not wait. */
-    public fun remove(id: Long): Boolean {
-        val position = positions.remove(id) ?: return false
-        position.lane.remove(position.tag)
-        return true
+    /** Removes the request [id] and returns it; null when it does not wait. */
+    public fun remove(id: Long): Waiting? {
+        val position = positions.remove(id) ?: return null
+        leave(position)
+        position.gone = true
+        dropGone()
+        return position.waiting
     }
 
-    /** Takes the first request whose team [tryTake] takes a right for, or null. */
-    public fun poll(tryTake: (teamId: String) -> Boolean): Waiting? {
-        for (lane in lanes.values) {
-            val waiting = lane.poll(tryTake) ?: continue
-            positions.remove(waiting.id)
-            return waiting
-        }
-        return null
+    /**
+     * Returns the request that starts next without removing it, or null. [tryTake] takes a right for its
+     * team; a team that gets none is passed over until [unblock] or [unblockAll].
+     */
+    public fun peek(tryTake: (teamId: String) -> Boolean): Waiting? {
+        val starving = Lane.entries.lastOrNull { passedOver[it.ordinal] >= MAX_PASSED_OVER }
+        starving?.let { lane -> peek(lane, tryTake)?.let { return it } }
+        return Lane.entries.firstNotNullOfOrNull { peek(it, tryTake) }
     }
 
-    /** Removes and returns the requests whose time to start has passed. */
-    public fun expire(nowMillis: Long): List<Waiting> {
-        val expired = lanes.values.flatMap { lane -> lane.all().filter { it.startByMillis <= nowMillis } }
-        expired.forEach { remove(it.id) }
+    /** Removes the request [id], which starts now, and charges its team for it. */
+    public fun start(id: Long) {
+        val position = positions.getValue(id)
+        virtualTime = maxOf(virtualTime, currentVirtualTime())
+        countPassedOver(position.lane)
+        remove(id)
+        charge(position.team.teamId, position.waiting.expectedRunMillis)
+    }
+
+    /** Charges [teamId] for [runMillis] more run time, or less when it is negative. */
+    public fun charge(
+        teamId: String,
+        runMillis: Double,
+    ) {
+        val team = teams[teamId] ?: return
+        moveTo(team, team.virtualTime + runMillis / team.shareWeight)
+    }
+
+    /** Lets [teamId] start again, after it got a right back. */
+    public fun unblock(teamId: String) {
+        val team = teams[teamId] ?: return
+        if (!team.blocked) return
+        team.blocked = false
+        // Being held by the limit gives no claim to service of the past.
+        team.virtualTime = maxOf(team.virtualTime, virtualTime)
+        Lane.entries.filter { team.hasAny(it) }.forEach { ready.getValue(it).add(team) }
+    }
+
+    /** Lets all teams try again to start. */
+    public fun unblockAll() {
+        teams.values.filter { it.blocked }.forEach { unblock(it.teamId) }
+    }
+
+    /** Lets requests rise whose time has come, and removes and returns those whose time to start has passed. */
+    public fun advance(nowMillis: Long): List<Waiting> {
+        while (rising.isNotEmpty() && rising.peek().isDue(rising.peek().waiting.riseAtMillis, nowMillis)) {
+            val position = rising.poll()
+            if (!position.gone) rise(position)
+        }
+        val expired = ArrayList<Waiting>()
+        while (startBy.isNotEmpty() && startBy.peek().isDue(startBy.peek().waiting.startByMillis, nowMillis)) {
+            val position = startBy.poll()
+            if (!position.gone) remove(position.waiting.id)?.let(expired::add)
+        }
         return expired
     }
 
-    private class Position(
-        val lane: Lane,
-        val tag: Tag,
-    )
-
-    private data class Tag(
-        val start: Double,
-        val id: Long,
-    ) : Comparable<Tag> {
-        override fun compareTo(other: Tag): Int = compareValuesBy(this, other, Tag::start, Tag::id)
-    }
-
-    private class Lane {
-        private val byTag = TreeMap<Tag, Waiting>()
-        private val finishByTeam = HashMap<String, Double>()
-        private var virtualTime = 0.0
-
-        fun add(
-            waiting: Waiting,
-            shareWeight: Int,
-        ): Tag {
-            val start = maxOf(virtualTime, finishByTeam[waiting.teamId] ?: 0.0)
-            finishByTeam[waiting.teamId] = start + 1.0 / shareWeight
-            return Tag(start, waiting.id).also { byTag[it] = waiting }
+    /** Run time in milliseconds that is expected to be served before a new request like [waiting]. */
+    public fun workAheadMillis(
+        waiting: Waiting,
+        shareWeight: Int,
+    ): Double {
+        val lane = Lane.of(waiting.queueClass)
+        val team = teams[waiting.teamId]
+        val aheadOfLane = Lane.entries.filter { it < lane }.sumOf { workMillisByLane[it.ordinal] }
+        val own = team?.workMillis(lane) ?: 0.0
+        val weights = weightByLane[lane.ordinal] + if (team?.hasAny(lane) == true) 0 else shareWeight
+        return aheadOfLane + minOf(workMillisByLane[lane.ordinal], own * weights / shareWeight)
+    }
+
+    /** Run time in milliseconds that is expected of the requests of [teamId] that wait in the lane of [waiting]. */
+    public fun workOfTeamMillis(waiting: Waiting): Double =
+        teams[waiting.teamId]?.workMillis(Lane.of(waiting.queueClass)) ?: 0.0
+
+    private fun peek(
+        lane: Lane,
+        tryTake: (String) -> Boolean,
+    ): Waiting? {
+        val readyTeams = ready.getValue(lane)
+        while (readyTeams.isNotEmpty()) {
+            val team = readyTeams.first()
+            if (tryTake(team.teamId)) return team.first(lane)
+            ready.values.forEach { it.remove(team) }
+            team.blocked = true
         }
+        return null
+    }
 
-        fun remove(tag: Tag) {
-            byTag.remove(tag)
+    private fun enter(position: Position) {
+        val lane = position.lane
+        val team = position.team
+        if (!team.hasAny(lane)) {
+            weightByLane[lane.ordinal] += team.shareWeight
+            team.countedWeight[lane.ordinal] = team.shareWeight
+            if (!team.blocked) ready.getValue(lane).add(team)
         }
+        team.add(lane, position.waiting)
+        workMillisByLane[lane.ordinal] += position.waiting.expectedRunMillis
+    }
+
+    private fun leave(position: Position) {
+        val lane = position.lane
+        val team = position.team
+        team.remove(lane, position.waiting)
+        workMillisByLane[lane.ordinal] -= position.waiting.expectedRunMillis
+        if (team.hasAny(lane)) return
+        ready.getValue(lane).remove(team)
+        weightByLane[lane.ordinal] -= team.countedWeight[lane.ordinal]
+        if (weightByLane[lane.ordinal] == 0) workMillisByLane[lane.ordinal] = 0.0
+    }
+
+    private fun rise(position: Position) {
+        leave(position)
+        position.lane = Lane.RISEN
+        enter(position)
+    }
+
+    private fun countPassedOver(served: Lane) {
+        passedOver[served.ordinal] = 0
+        Lane.entries
+            .filter { it > served && ready.getValue(it).isNotEmpty() }
+            .forEach { passedOver[it.ordinal]++ }
+    }
 
-        fun poll(tryTake: (String) -> Boolean): Waiting? {
-            val (tag, waiting) = byTag.entries.firstOrNull { tryTake(it.value.teamId) } ?: return null
-            byTag.remove(tag)
-            virtualTime = maxOf(virtualTime, tag.start)
-            return waiting
+    private fun currentVirtualTime(): Double {
+        val least = ready.values.mapNotNull { it.firstOrNull()?.virtualTime }.minOrNull() ?: return virtualTime
+        return maxOf(virtualTime, least)
+    }
+
+    // A sorted set loses an element whose key changes inside it.
+    private fun moveTo(
+        team: TeamBacklog,
+        newVirtualTime: Double,
+    ) {
+        val lanes = ready.values.filter { it.remove(team) }
+        team.virtualTime = newVirtualTime
+        lanes.forEach { it.add(team) }
+    }
+
+    // Keeps removed requests from filling the heaps until their time comes.
+    private fun dropGone() {
+        if (startBy.size > 2 * positions.size + MIN_HEAP_SIZE) {
+            startBy.removeIf { it.gone }
+            rising.removeIf { it.gone }
         }
+    }
+
+    private class Position(
+        val waiting: Waiting,
+        val team: TeamBacklog,
+        var lane: Lane,
+    ) {
+        var gone = false
+
+        fun isDue(
+            atMillis: Long?,
+            nowMillis: Long,
+        ): Boolean = gone || (atMillis != null && atMillis <= nowMillis)
+    }
 
-        fun all(): Collection<Waiting> = byTag.values
+    public companion object {
+        /** Starts of other lanes after which a lane with work is served next. */
+        public const val MAX_PASSED_OVER: Int = 32
+        private const val MIN_HEAP_SIZE = 64
     }
 }
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobProgress.kt
@@ -0,0 +1,53 @@
+package org.verbenagauge.entry.admission
+
+import org.verbenagauge.entry.Job
+import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.Verdict
+import org.verbenagauge.entry.account.JobRecord
+import org.verbenagauge.entry.clock.Clock
+
+/** Times and places of one request, for its record. */
+internal class JobProgress(
+    private val clock: Clock,
+) {
+    var teamId: String? = null
+    private val arrivedAtMillis = clock.monotonicMillis()
+    private val arrivedAtWallMillis = clock.wallMillis()
+    private var startedAtMillis: Long? = null
+    private var lastReasonThatMayHaveRun: Reason? = null
+    private var instanceId: String? = null
+
+    /** Notes that the request goes to [instanceId]. */
+    fun started(instanceId: String) {
+        if (startedAtMillis == null) startedAtMillis = clock.monotonicMillis()
+        this.instanceId = instanceId
+    }
+
+    /** Notes the [reason] with which an attempt ended. */
+    fun ended(reason: Reason) {
+        if (reason.verdict != Verdict.NOT_RUN) lastReasonThatMayHaveRun = reason
+    }
+
+    /** Returns the record of [job], whose caller left before the answer. */
+    fun recordOfCancelled(job: Job): JobRecord = record(job, lastReasonThatMayHaveRun ?: Reason.CALLER_CANCELLED)
+
+    /** Returns the record of [job], which ends now with [reason]. */
+    fun record(
+        job: Job,
+        reason: Reason,
+    ): JobRecord {
+        val nowMillis = clock.monotonicMillis()
+        val waitedUntilMillis = startedAtMillis ?: nowMillis
+        return JobRecord(
+            requestId = job.requestId,
+            teamId = teamId,
+            queueId = job.queueId,
+            idempotencyKey = job.idempotencyKey,
+            instanceId = instanceId,
+            reason = reason,
+            arrivedAtWallMillis = arrivedAtWallMillis,
+            waitedMillis = waitedUntilMillis - arrivedAtMillis,
+            ranMillis = nowMillis - waitedUntilMillis,
+        )
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
@@ -8,12 +8,15 @@
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.JobHandler
 import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.Verdict
 import org.verbenagauge.entry.account.JobObserver
-import org.verbenagauge.entry.account.JobRecord
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.placement.EndpointClient
 import org.verbenagauge.entry.placement.EndpointView
+import org.verbenagauge.entry.placement.PlacementNotice
+import org.verbenagauge.entry.rights.FleetService
 import org.verbenagauge.entry.rights.Rights
+import org.verbenagauge.entry.rights.noFleetService
 import org.verbenagauge.entry.state.Configuration
 import org.verbenagauge.entry.state.Freshness
 import org.verbenagauge.entry.state.Queue
@@ -21,8 +24,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
-import java.util.concurrent.locks.ReentrantLock
-import kotlin.concurrent.withLock
 
 /** Team that requests without a key count for, on queues that are open to all. */
 public const val OPEN_TEAM_ID: String = "open"
@@ -34,6 +35,8 @@
  *
  * @param maxJobs requests that the entry holds at once.
  * @param maxQueuedPerPool requests that wait at once for one pool.
+ * @param fleetService requests that other entries have started.
+ * @param notify receives what operators should see of the endpoints.
  */
 public class JobService(
     private val clock: Clock,
@@ -43,6 +46,8 @@
     private val observer: JobObserver,
     private val maxJobs: Int,
     private val maxQueuedPerPool: Int,
+    private val fleetService: FleetService = noFleetService,
+    private val notify: (PlacementNotice) -> Unit = {},
 ) : JobHandler {
     private val ids = AtomicLong()
     private val held = AtomicInteger()
@@ -52,67 +57,94 @@
 
     @Volatile private var stopping = false
 
+    init {
+        rights.onGained { tick() }
+    }
+
     /** Requests that are waiting or running. */
     public val heldCount: Int get() = held.get()
 
+    /** Requests that are waiting. */
+    public val queuedCount: Int get() = pools.values.sumOf { it.queued }
+
     /** Puts a new configuration and view of the endpoints in force. */
     public fun update(
         configuration: Configuration,
         endpointsByPool: Map<String, List<EndpointView>>,
     ) {
         snapshot = Snapshot(configuration)
-        configuration.pools.forEach { lane(it.id).update(endpointsByPool[it.id].orEmpty()) }
+        configuration.pools.forEach { lane(it.id).update(endpointsByPool[it.id].orEmpty(), it.budget.maxAway) }
+        val poolIds = configuration.pools.map { it.id }.toSet()
+        pools.filterKeys { it !in poolIds }.values.forEach { it.update(emptyList(), maxAway = 0) }
     }
 
-    /** Refuses new requests from now on; requests that are held go on. */
-    public fun stopAccepting() {
+    /**
+     * Refuses new requests from now on. Held ones go on, and those that wait start as long as they are sure
+     * to end before [stopByMillis] on the monotonic clock; the others are refused as not-run at once.
+     */
+    public fun stopAccepting(stopByMillis: Long) {
         stopping = true
+        pools.values.forEach { it.stop(stopByMillis) }
     }
 
-    /** Refuses requests whose time to start has passed. */
+    /** Refuses requests whose time to start has passed, and starts what may start. */
     public fun tick() {
         pools.values.forEach { it.tick() }
     }
 
     override suspend fun handle(job: Job): JobAnswer {
-        val progress = Progress(clock)
-        val answer = hold(job, progress)
-        observer.answered(progress.record(job, answer))
+        val progress = JobProgress(clock)
+        val answer =
+            try {
+                hold(job, progress)
+            } catch (e: CancellationException) {
+                val left = progress.recordOfCancelled(job)
+                withContext(NonCancellable) { observer.answered(left) }
+                throw e
+            }
+        withContext(NonCancellable) { observer.answered(progress.record(job, answer.reason)) }
         return answer
     }
 
     private suspend fun hold(
         job: Job,
-        progress: Progress,
-    ): JobAnswer {
-        if (stopping) return refusal(Reason.ENTRY_STOPPING)
-        if (held.incrementAndGet() > maxJobs) {
-            held.decrementAndGet()
-            return refusal(Reason.ENTRY_FULL)
-        }
-        return try {
-            admit(job, progress)
+        progress: JobProgress,
+    ): JobAnswer =
+        try {
+            // Counted before the check, so that a stop that sees nothing held can rely on it.
+            val count = held.incrementAndGet()
+            when {
+                stopping -> refusal(Reason.ENTRY_STOPPING)
+                count > maxJobs -> refusal(Reason.ENTRY_FULL)
+                else -> admit(job, progress)
+            }
         } finally {
             held.decrementAndGet()
         }
-    }
 
     private suspend fun admit(
         job: Job,
-        progress: Progress,
-    ): JobAnswer {
-        if (!freshness.isFresh()) return refusal(Reason.ENTRY_STALE)
+        progress: JobProgress,
+    ): JobAnswer =
+        when (val check = check(job)) {
+            is Check.Failed -> check.answer
+            is Check.Passed -> {
+                progress.teamId = check.team.id
+                run(job, check, progress)
+            }
+        }
+
+    // Checked again at the start: a key that was withdrawn meanwhile starts nothing.
+    private fun check(job: Job): Check {
+        if (!freshness.isFresh()) return Check.Failed(refusal(Reason.ENTRY_STALE))
         val view = snapshot
         val queue =
             view.queuesById[job.queueId]
-                ?: return JobAnswer(Reason.UNKNOWN_QUEUE, detail = "queue '${job.queueId}'")
-        val team =
-            when (val outcome = teamOf(job, queue, view)) {
-                is KeyOutcome.Refused -> return JobAnswer(outcome.reason, detail = "queue '${queue.id}'")
-                is KeyOutcome.Known -> outcome.team
-            }
-        progress.teamId = team.id
-        return run(job, queue, team, progress)
+                ?: return Check.Failed(JobAnswer(Reason.UNKNOWN_QUEUE, detail = "queue '${job.queueId}'"))
+        return when (val outcome = teamOf(job, queue, view)) {
+            is KeyOutcome.Refused -> Check.Failed(JobAnswer(outcome.reason, detail = "queue '${queue.id}'"))
+            is KeyOutcome.Known -> Check.Passed(queue, outcome.team)
+        }
     }
 
     private fun teamOf(
@@ -129,23 +161,52 @@
 
     private suspend fun run(
         job: Job,
-        queue: Queue,
-        team: Team,
-        progress: Progress,
+        check: Check.Passed,
+        progress: JobProgress,
     ): JobAnswer {
-        val lane = lane(queue.poolId)
-        val id = ids.incrementAndGet()
-        val waitMillis = minOf(queue.maxWaitMillis, job.deadlineMillis ?: Long.MAX_VALUE)
-        val decision = lane.submit(id, team, queue, clock.monotonicMillis() + waitMillis)
-        return when (val action = awaitDecision(lane, id, decision)) {
-            is DispatchAction.Refuse -> refusal(action.reason)
-            is DispatchAction.Start -> {
-                progress.started(action.address.instanceId)
-                send(job, queue, lane, action)
+        val lane = lane(check.queue.poolId)
+        val request = request(job, check)
+        var decision = lane.submit(request)
+        var answer: JobAnswer? = null
+        while (true) {
+            when (val action = awaitDecision(lane, request.id, decision)) {
+                is DispatchAction.Refuse -> return JobAnswer(action.reason, retryAfterMillis = action.retryAfterMillis)
+                is DispatchAction.Deliver -> return answer ?: JobAnswer(Reason.INTERNAL_ERROR)
+                is DispatchAction.Start -> {
+                    val attempt = attempt(job, check.queue, lane, action, progress)
+                    answer = later(answer, attempt.answer)
+                    decision = attempt.next
+                }
             }
         }
     }
 
+    // An attempt that did not run says nothing of an earlier one that may have.
+    private fun later(
+        earlier: JobAnswer?,
+        answer: JobAnswer,
+    ): JobAnswer {
+        val hides = answer.verdict == Verdict.NOT_RUN && earlier != null && earlier.verdict != Verdict.NOT_RUN
+        return if (hides) earlier else answer
+    }
+
+    private fun request(
+        job: Job,
+        check: Check.Passed,
+    ): JobRequest {
+        val nowMillis = clock.monotonicMillis()
+        val queue = check.queue
+        val waitMillis = minOf(queue.maxWaitMillis, job.deadlineMillis ?: Long.MAX_VALUE)
+        return JobRequest(
+            id = ids.incrementAndGet(),
+            team = check.team,
+            queue = queue,
+            startByMillis = nowMillis + waitMillis,
+            finishByMillis = queue.finishByMinuteOfDay?.let { nowMillis + millisUntil(it, clock.wallMillis()) },
+            jobKey = lazy { jobKey(job) },
+        )
+    }
+
     private suspend fun awaitDecision(
         lane: PoolLane,
         id: Long,
@@ -159,58 +220,67 @@
         }
 
     // A request that was sent runs to its end, so that its slot and its right are held as long as it may run.
-    private suspend fun send(
+    private suspend fun attempt(
         job: Job,
         queue: Queue,
         lane: PoolLane,
         start: DispatchAction.Start,
-    ): JobAnswer =
+        progress: JobProgress,
+    ): Attempt =
         withContext(NonCancellable) {
+            var answer = JobAnswer(Reason.INTERNAL_ERROR)
+            var next: CompletableDeferred<DispatchAction>? = null
             try {
-                endpointClient.send(job, start.address, queue.idempotent, queue.maxRunMillis)
+                answer = (check(job) as? Check.Failed)?.answer ?: send(job, queue, start, progress)
             } finally {
-                lane.finish(start.id)
+                progress.ended(answer.reason)
+                next = lane.ended(endOf(start.id, answer))
             }
+            Attempt(answer, next)
         }
 
-    private fun refusal(reason: Reason) = JobAnswer(reason, retryAfterMillis = RETRY_AFTER_MILLIS)
+    private suspend fun send(
+        job: Job,
+        queue: Queue,
+        start: DispatchAction.Start,
+        progress: JobProgress,
+    ): JobAnswer {
+        progress.started(start.address.instanceId)
+        return endpointClient.send(job, start.address, queue.idempotent, queue.maxRunMillis)
+    }
 
-    private fun lane(poolId: String) = pools.getOrPut(poolId) { PoolLane() }
+    private fun endOf(
+        id: Long,
+        answer: JobAnswer,
+    ): AttemptEnd {
+        val failed = answer.endpointAnswer?.let { it.status >= SERVER_ERROR } ?: false
+        return AttemptEnd(id, answer.reason, failedOnEndpoint = failed)
+    }
 
-    private class Progress(
-        private val clock: Clock,
-    ) {
-        var teamId: String? = null
-        private val arrivedAtMillis = clock.monotonicMillis()
-        private val arrivedAtWallMillis = clock.wallMillis()
-        private var startedAtMillis: Long? = null
-        private var instanceId: String? = null
+    private fun refusal(reason: Reason) = JobAnswer(reason, retryAfterMillis = RETRY_AFTER_MILLIS)
 
-        fun started(instanceId: String) {
-            startedAtMillis = clock.monotonicMillis()
-            this.instanceId = instanceId
+    private fun lane(poolId: String) =
+        pools.computeIfAbsent(poolId) {
+            val seed = it.hashCode() + clock.wallMillis()
+            PoolLane(Dispatcher(it, rights, maxQueuedPerPool, fleetService, seed), it, rights, clock, notify)
         }
 
-        fun record(
-            job: Job,
-            answer: JobAnswer,
-        ): JobRecord {
-            val nowMillis = clock.monotonicMillis()
-            val waitedUntilMillis = startedAtMillis ?: nowMillis
-            return JobRecord(
-                requestId = job.requestId,
-                teamId = teamId,
-                queueId = job.queueId,
-                idempotencyKey = job.idempotencyKey,
-                instanceId = instanceId,
-                reason = answer.reason,
-                arrivedAtWallMillis = arrivedAtWallMillis,
-                waitedMillis = waitedUntilMillis - arrivedAtMillis,
-                ranMillis = nowMillis - waitedUntilMillis,
-            )
-        }
+    private sealed interface Check {
+        class Passed(
+            val queue: Queue,
+            val team: Team,
+        ) : Check
+
+        class Failed(
+            val answer: JobAnswer,
+        ) : Check
     }
 
+    private class Attempt(
+        val answer: JobAnswer,
+        val next: CompletableDeferred<DispatchAction>,
+    )
+
     private class Snapshot(
         configuration: Configuration,
     ) {
@@ -218,51 +288,8 @@
         val keyRing = KeyRing(configuration)
     }
 
-    private inner class PoolLane {
-        private val lock = ReentrantLock()
-        private val dispatcher = Dispatcher(rights, maxQueuedPerPool)
-        private val decisions = HashMap<Long, CompletableDeferred<DispatchAction>>()
-
-        fun submit(
-            id: Long,
-            team: Team,
-            queue: Queue,
-            startByMillis: Long,
-        ): CompletableDeferred<DispatchAction> {
-            val decision = CompletableDeferred<DispatchAction>()
-            handle {
-                decisions[id] = decision
-                submit(id, team, queue, startByMillis, clock.monotonicMillis())
-            }
-            return decision
-        }
-
-        fun abandon(id: Long) {
-            val decided = lock.withLock { if (dispatcher.cancel(id)) decisions.remove(id) else null }
-            if (decided == null) finish(id)
-        }
-
-        fun finish(id: Long) = handle { finish(id, clock.monotonicMillis()) }
-
-        fun update(views: List<EndpointView>) = handle { update(views, clock.monotonicMillis()) }
-
-        fun tick() = handle { tick(clock.monotonicMillis()) }
-
-        private fun handle(event: Dispatcher.() -> List<DispatchAction>) {
-            val decided =
-                lock.withLock {
-                    dispatcher.event().mapNotNull { action -> decisions.remove(action.id)?.let { Decided(it, action) } }
-                }
-            decided.forEach { it.decision.complete(it.action) }
-        }
-    }
-
-    private class Decided(
-        val decision: CompletableDeferred<DispatchAction>,
-        val action: DispatchAction,
-    )
-
     private companion object {
+        const val SERVER_ERROR = 500
         val openTeam = Team(OPEN_TEAM_ID, maxRunning = Int.MAX_VALUE)
     }
 }
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
@@ -0,0 +1,100 @@
+package org.verbenagauge.entry.admission
+
+import kotlinx.coroutines.CompletableDeferred
+import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.placement.EndpointView
+import org.verbenagauge.entry.placement.PlacementNotice
+import org.verbenagauge.entry.rights.Rights
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** Hands events of one pool to its [dispatcher] one at a time, and its decisions to the waiting coroutines. */
+internal class PoolLane(
+    private val dispatcher: Dispatcher,
+    private val poolId: String,
+    private val rights: Rights,
+    private val clock: Clock,
+    private val notify: (PlacementNotice) -> Unit,
+) {
+    private val lock = ReentrantLock()
+    private val decisions = HashMap<Long, CompletableDeferred<DispatchAction>>()
+    private val reportedByTeam = HashMap<String, Int>()
+
+    /** Number of waiting requests. */
+    val queued: Int get() = lock.withLock { dispatcher.queued }
+
+    /** Submits [request]; the result says what to do with it. */
+    fun submit(request: JobRequest): CompletableDeferred<DispatchAction> =
+        decisionOf(request.id) { submit(request, clock.monotonicMillis()) }
+
+    /** Tells the end of an attempt; the result says what to do next with the request. */
+    fun ended(end: AttemptEnd): CompletableDeferred<DispatchAction> =
+        decisionOf(end.id) { ended(end, clock.monotonicMillis()) }
+
+    /** Tells that the caller of [id] has left before it took its decision. */
+    fun abandon(id: Long) {
+        handle {
+            decisions.remove(id)
+            val wasWaiting = cancel(id)
+            // A start that was decided but not taken up ends here, with its slot and its right.
+            if (wasWaiting) emptyList() else ended(AttemptEnd(id, NOT_STARTED), clock.monotonicMillis())
+        }
+    }
+
+    fun update(
+        views: List<EndpointView>,
+        maxAway: Int,
+    ) = handle { update(views, maxAway, clock.monotonicMillis()) }
+
+    fun stop(stopByMillis: Long) = handle { stop(stopByMillis, clock.monotonicMillis()) }
+
+    fun tick() {
+        handle { tick(clock.monotonicMillis()) }
+        reportDemand()
+    }
+
+    private fun decisionOf(
+        id: Long,
+        event: Dispatcher.() -> List<DispatchAction>,
+    ): CompletableDeferred<DispatchAction> {
+        val decision = CompletableDeferred<DispatchAction>()
+        handle {
+            decisions[id] = decision
+            event()
+        }
+        return decision
+    }
+
+    // Coroutines go on and operators are told outside of the lock.
+    private fun handle(event: Dispatcher.() -> List<DispatchAction>) {
+        var notices = emptyList<PlacementNotice>()
+        val decided =
+            lock.withLock {
+                val actions = dispatcher.event()
+                notices = dispatcher.takeNotices()
+                actions.mapNotNull { action -> decisions.remove(action.id)?.let { Decided(it, action) } }
+            }
+        decided.forEach { it.decision.complete(it.action) }
+        notices.forEach(notify)
+    }
+
+    private fun reportDemand() {
+        val changed =
+            lock.withLock {
+                dispatcher.teamIds
+                    .associateWith { dispatcher.waitingOf(it) }
+                    .filter { (teamId, waiting) -> reportedByTeam.put(teamId, waiting) != waiting }
+            }
+        changed.forEach { (teamId, waiting) -> rights.reportDemand(poolId, teamId, waiting) }
+    }
+
+    private class Decided(
+        val decision: CompletableDeferred<DispatchAction>,
+        val action: DispatchAction,
+    )
+
+    private companion object {
+        val NOT_STARTED = Reason.CALLER_CANCELLED
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/RequestState.kt
@@ -0,0 +1,52 @@
+package org.verbenagauge.entry.admission
+
+import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.placement.Placement
+import org.verbenagauge.entry.placement.PlacementNeed
+
+private const val RISE_AHEAD_MILLIS = 900_000L
+
+/** A request that waits or runs, with its attempts. */
+internal class RequestState(
+    val request: JobRequest,
+    expectedRunMillis: Double,
+) {
+    val waiting =
+        Waiting(
+            id = request.id,
+            teamId = request.team.id,
+            queueId = request.queue.id,
+            queueClass = request.queue.queueClass,
+            startByMillis = request.startByMillis,
+            riseAtMillis = request.finishByMillis?.let { it - RISE_AHEAD_MILLIS - expectedRunMillis.toLong() },
+            expectedRunMillis = expectedRunMillis,
+        )
+
+    /** Slot that it runs on, or null while it waits. */
+    var placement: Placement? = null
+    var startedAtMillis = 0L
+    var attempts = 0
+    var cancelled = false
+
+    /** Whether an attempt may have run, so that the answer must not be a refusal. */
+    var mayHaveRun = false
+
+    private val triedInstanceIds = HashSet<String>()
+    private var strictUntilMillis = 0L
+
+    /** Avoids [instanceId], which was tried; up to [strictUntilMillis] at the price of a longer wait. */
+    fun avoid(
+        instanceId: String,
+        strictUntilMillis: Long,
+    ) {
+        triedInstanceIds += instanceId
+        this.strictUntilMillis = strictUntilMillis
+    }
+
+    fun need(nowMillis: Long): PlacementNeed =
+        PlacementNeed(
+            idempotent = request.queue.idempotent,
+            triedInstanceIds = triedInstanceIds,
+            mayRepeat = nowMillis >= strictUntilMillis,
+        )
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -27,6 +27,11 @@
     PEER_CONNECTED(2010, Level.INFO),
     PEER_DISCONNECTED(2011, Level.WARN),
     PEER_REFUSED(2012, Level.WARN),
+    ENDPOINT_EJECTED(3001, Level.WARN),
+    ENDPOINT_RESTORED(3002, Level.INFO),
+    ENDPOINT_DRAINING(3003, Level.INFO),
+    EJECTION_BUDGET_EXHAUSTED(3004, Level.ERROR),
+    JOB_FAILS_EVERYWHERE(3005, Level.WARN),
 }
 
 /** Writes numbered events as structured JSON. */
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/PlacementLog.kt
@@ -0,0 +1,27 @@
+package org.verbenagauge.entry.placement
+
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+
+/** Returns a receiver that writes each notice to [log]. */
+internal fun placementLog(log: EventLog): (PlacementNotice) -> Unit =
+    { notice ->
+        when (notice) {
+            is PlacementNotice.Ejected ->
+                log.write(Event.ENDPOINT_EJECTED, "endpoint '${notice.instanceId}' fails its work and is ejected")
+            is PlacementNotice.Restored ->
+                log.write(Event.ENDPOINT_RESTORED, "endpoint '${notice.instanceId}' takes work again")
+            is PlacementNotice.Draining ->
+                log.write(Event.ENDPOINT_DRAINING, "endpoint '${notice.instanceId}' drains")
+            is PlacementNotice.BudgetExhausted ->
+                log.write(
+                    Event.EJECTION_BUDGET_EXHAUSTED,
+                    "endpoint '${notice.instanceId}' fails its work, but the pool's budget.maxAway is spent",
+                )
+            is PlacementNotice.BadJob ->
+                log.write(
+                    Event.JOB_FAILS_EVERYWHERE,
+                    "the job of request ${notice.requestId} failed on ${notice.instanceIds.sorted()}",
+                )
+        }
+    }
