--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/FaultyEndpoint.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/FaultyEndpoint.kt
@@ -146,7 +146,7 @@
             EndpointFault.BODY_UNTIL_CLOSE -> end(socket, head("Connection: close") + body)
             EndpointFault.GARBAGE -> end(socket, "\u0000\u0001 this is not HTTP\r\n\r\n")
             EndpointFault.SURPLUS -> end(socket, whole + "x" + whole)
-            EndpointFault.DRAINING -> return keep(socket, drainingAnswer)
+            EndpointFault.DRAINING -> return keep(socket, DRAINING_ANSWER)
             EndpointFault.STALL_IN_BODY -> keep(socket, head("Content-Length: ${body.length * 2}") + body)
             else -> Unit
         }
@@ -205,7 +205,7 @@
         const val HOST = "127.0.0.1"
         const val BACKLOG = 50
         const val HEX = 16
-        const val drainingAnswer =
+        const val DRAINING_ANSWER =
             "HTTP/1.1 503 Service Unavailable\r\nEndpoint-Draining: true\r\nContent-Length: 0\r\n\r\n"
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -5,7 +5,6 @@
 import org.verbenagauge.entry.placement.EndpointPool
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.placement.Placement
-import org.verbenagauge.entry.placement.PlacementNeed
 import org.verbenagauge.entry.placement.PlacementNotice
 import org.verbenagauge.entry.rights.FleetService
 import org.verbenagauge.entry.rights.Resource
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/RequestState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/RequestState.kt
@@ -1,6 +1,5 @@
 package org.verbenagauge.entry.admission
 
-import org.verbenagauge.entry.Reason
 import org.verbenagauge.entry.placement.Placement
 import org.verbenagauge.entry.placement.PlacementNeed
 
