Charge runs while they go on, and estimate waits by the pace of starts; measure both in virtual time

A team of unknown run time took most slots until its first request had ended, and was then kept from service: 57% off its share in the worst 10 s window.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -18,4 +18,6 @@
     arrayOf(
         PathLatencyCommand(),
         PathThroughputCommand(),
+        UrgentBurstCommand(),
+        ShareNearnessCommand(),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -35,14 +35,14 @@
     private val requests = HashMap<Long, RequestState>()
     private val runningByTeam = HashMap<String, Int>()
     private val startedElsewhereByTeam = HashMap<String, Long>()
-    private var running = 0
+    private val runningStates = LinkedHashSet<RequestState>()
     private var stopByMillis: Long? = null
 
     /** Number of waiting requests. */
     public val queued: Int get() = waiting.size
 
     /** Number of running requests. */
-    public val runningCount: Int get() = running
+    public val runningCount: Int get() = runningStates.size
 
     /** Number of requests whose rights are held because they may still be running. */
     public val heldCount: Int get() = held.size
@@ -123,6 +123,7 @@
     /** Refuses what has waited too long and starts what may start, also by rights that were gained elsewhere. */
     public fun tick(nowMillis: Long): List<DispatchAction> {
         held.releaseDue(nowMillis)
+        chargeOverruns(nowMillis)
         chargeServiceElsewhere()
         waiting.unblockAll()
         endpoints.reopenAll()
@@ -160,8 +161,10 @@
 
     // The slots of this entry are those in use, as long as anything waits; a team at its limit has those it uses.
     private fun expectedWaitMillis(state: RequestState): Double {
-        if (running == 0) return 0.0
-        val ofPool = waiting.workAheadMillis(state.waiting, state.request.team.shareWeight) / running
+        if (runningStates.isEmpty()) return 0.0
+        val ofWork = waiting.workAheadMillis(state.waiting, state.request.team.shareWeight) / runningCount
+        // Teams that wait with nothing now will still go ahead with what they send next; the pace shows it.
+        val ofPool = maxOf(ofWork, waiting.drainMillis(state.waiting))
         val ofTeam = runningByTeam[state.request.team.id] ?: return ofPool
         if (rights.free(Resource.Team(state.request.team.id)) > 0) return ofPool
         return maxOf(ofPool, waiting.workOfTeamMillis(state.waiting) / ofTeam)
@@ -224,13 +227,16 @@
         placement: Placement,
         nowMillis: Long,
     ) {
-        waiting.start(state.request.id)
+        // What is known now counts, not what was known at the arrival.
+        val expectedMillis = runTimes.expectedMillis(state.request.queue.id, state.request.team.id)
+        waiting.start(state.request.id, expectedMillis, nowMillis)
         bounds.remove(state.waiting)
         if (state.attempts == 0) retryBudget.countRequest()
         state.attempts++
         state.placement = placement
         state.startedAtMillis = nowMillis
-        running++
+        state.chargedMillis = expectedMillis
+        runningStates += state
         runningByTeam.merge(state.request.team.id, 1, Int::plus)
     }
 
@@ -242,7 +248,7 @@
     ) {
         val teamId = state.request.team.id
         val instanceId = placement.address.instanceId
-        running--
+        runningStates -= state
         if (runningByTeam.merge(teamId, -1, Int::plus) == 0) runningByTeam.remove(teamId)
         state.placement = null
         if (end.reason.verdict == Verdict.MAY_HAVE_RUN) {
@@ -271,7 +277,7 @@
         val instanceId = placement.address.instanceId
         val runMillis = (nowMillis - state.startedAtMillis).toDouble()
         val didRun = end.reason.verdict != Verdict.NOT_RUN
-        waiting.charge(request.team.id, (if (didRun) runMillis else 0.0) - state.waiting.expectedRunMillis)
+        waiting.charge(request.team.id, (if (didRun) runMillis else 0.0) - state.chargedMillis)
         if (didRun) runTimes.add(request.queue.id, request.team.id, runMillis)
         return when {
             end.reason == Reason.ENDPOINT_DRAINING -> endpoints.draining(instanceId, nowMillis).let { true }
@@ -314,6 +320,18 @@
         return DispatchAction.Deliver(state.request.id)
     }
 
+    // A run that takes longer than expected is charged while it goes on; else a team of unknown run time could take
+    // all slots before its first request has ended.
+    private fun chargeOverruns(nowMillis: Long) {
+        val maxLead = MAX_LEAD_MILLIS * runningCount / maxOf(1, waiting.waitingWeight())
+        for (state in runningStates) {
+            val runMillis = (nowMillis - state.startedAtMillis).toDouble()
+            if (runMillis <= state.chargedMillis) continue
+            waiting.chargeOverrun(state.request.team.id, runMillis - state.chargedMillis, maxLead)
+            state.chargedMillis = runMillis
+        }
+    }
+
     private fun chargeServiceElsewhere() {
         for (teamId in waiting.teamIds) {
             val total = fleetService.startedElsewhere(poolId, teamId)
@@ -325,6 +343,7 @@
     private companion object {
         const val MAX_ATTEMPTS = 3
         const val MIN_RETRY_AFTER_MILLIS = 100L
+        const val MAX_LEAD_MILLIS = 5_000.0
         const val STRICT_RETRY_MILLIS = 200L
         val failuresAfterStart = setOf(Reason.CONNECTION_LOST, Reason.ANSWER_TIMEOUT, Reason.ANSWER_INVALID)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
@@ -72,13 +72,18 @@
         return Lane.entries.firstNotNullOfOrNull { peek(it, tryTake) }
     }
 
-    /** Removes the request [id], which starts now, and charges its team for it. */
-    public fun start(id: Long) {
+    /** Removes the request [id], which starts at [nowMillis], and charges its team with [chargedMillis] of run time. */
+    public fun start(
+        id: Long,
+        chargedMillis: Double,
+        nowMillis: Long,
+    ) {
         val position = positions.getValue(id)
         virtualTime = maxOf(virtualTime, currentVirtualTime())
         countPassedOver(position.lane)
+        position.team.started(position.lane, nowMillis)
         remove(id)
-        charge(position.team.teamId, position.waiting.expectedRunMillis)
+        charge(position.team.teamId, chargedMillis)
     }
 
     /** Charges [teamId] for [runMillis] more run time, or less when it is negative. */
@@ -90,6 +95,23 @@
         moveTo(team, team.virtualTime + runMillis / team.shareWeight)
     }
 
+    /**
+     * Charges [teamId] for [runMillis] that were not expected at the start, up to a lead of [maxLead] in virtual
+     * time before the others, so that a surprise does not keep it from service for long.
+     */
+    public fun chargeOverrun(
+        teamId: String,
+        runMillis: Double,
+        maxLead: Double,
+    ) {
+        val team = teams[teamId] ?: return
+        val limit = maxOf(team.virtualTime, currentVirtualTime() + maxLead)
+        moveTo(team, minOf(limit, team.virtualTime + runMillis / team.shareWeight))
+    }
+
+    /** Weights of the teams that wait in the lane where most weight waits. */
+    public fun waitingWeight(): Int = weightByLane.max()
+
     /** Lets [teamId] start again, after it got a right back. */
     public fun unblock(teamId: String) {
         val team = teams[teamId] ?: return
@@ -132,9 +154,16 @@
         return aheadOfLane + minOf(workMillisByLane[lane.ordinal], own * weights / shareWeight)
     }
 
-    /** Run time in milliseconds that is expected of the requests of [teamId] that wait in the lane of [waiting]. */
-    public fun workOfTeamMillis(waiting: Waiting): Double =
-        teams[waiting.teamId]?.workMillis(Lane.of(waiting.queueClass)) ?: 0.0
+    /** Run time in milliseconds that is expected of the requests of the team of [waiting] in its lane. */
+    public fun workOfTeamMillis(waiting: Waiting): Double = teamWork(waiting) { lane -> workMillis(lane) }
+
+    /** Time in milliseconds until the team of [waiting] has started all it has in the lane, at the pace of late. */
+    public fun drainMillis(waiting: Waiting): Double = teamWork(waiting) { lane -> drainMillis(lane) }
+
+    private fun teamWork(
+        waiting: Waiting,
+        value: TeamBacklog.(Lane) -> Double,
+    ): Double = teams[waiting.teamId]?.value(Lane.of(waiting.queueClass)) ?: 0.0
 
     private fun peek(
         lane: Lane,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/RequestState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/RequestState.kt
@@ -24,6 +24,9 @@
     /** Slot that it runs on, or null while it waits. */
     var placement: Placement? = null
     var startedAtMillis = 0L
+
+    /** Run time that the team was charged for so far. */
+    var chargedMillis = 0.0
     var attempts = 0
     var cancelled = false
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/TeamBacklog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/TeamBacklog.kt
@@ -17,6 +17,8 @@
     /** Charged run time divided by the weight, in milliseconds. */
     var virtualTime: Double = 0.0
 
+    private val drainByLane = EnumMap<Lane, Drain>(Lane::class.java)
+
     /** Whether the team has no right to start anything now. */
     var blocked: Boolean = false
 
@@ -46,10 +48,49 @@
     ) {
         requestsByLane.getValue(lane).remove(waiting.id)
         workMillisByLane[lane.ordinal] -= waiting.expectedRunMillis
-        if (!hasAny(lane)) workMillisByLane[lane.ordinal] = 0.0
+        if (!hasAny(lane)) {
+            workMillisByLane[lane.ordinal] = 0.0
+            drainByLane.remove(lane)
+        }
         size--
     }
 
+    /** Notes that a request of [lane] starts. */
+    fun started(
+        lane: Lane,
+        nowMillis: Long,
+    ) {
+        drainByLane.getOrPut(lane) { Drain() }.started(nowMillis)
+    }
+
+    /** Time until all that waits in [lane] has started, at the pace of the last starts; 0 when it is not known. */
+    fun drainMillis(lane: Lane): Double {
+        val count = requestsByLane[lane]?.size ?: 0
+        return count * (drainByLane[lane]?.intervalMillis ?: 0.0)
+    }
+
     override fun compareTo(other: TeamBacklog): Int =
         compareValuesBy(this, other, TeamBacklog::virtualTime, TeamBacklog::teamId)
+
+    /** Pace of the starts since the team last had nothing waiting. */
+    private class Drain {
+        private var lastStartMillis: Long? = null
+        private var meanMillis = 0.0
+        private var samples = 0
+
+        val intervalMillis: Double get() = if (samples >= MIN_SAMPLES) meanMillis else 0.0
+
+        fun started(nowMillis: Long) {
+            val last = lastStartMillis
+            lastStartMillis = nowMillis
+            if (last == null) return
+            samples++
+            meanMillis += (nowMillis - last - meanMillis) / minOf(samples, MEMORY_SAMPLES)
+        }
+    }
+
+    private companion object {
+        const val MIN_SAMPLES = 8
+        const val MEMORY_SAMPLES = 32
+    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Waiting.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Waiting.kt
@@ -11,7 +11,7 @@
  * @property queueClass urgency.
  * @property startByMillis monotonic time by which it must have started.
  * @property riseAtMillis monotonic time from which it goes ahead of ordinary work, or null for never.
- * @property expectedRunMillis run time that is charged to the team at the start, until the real one is known.
+ * @property expectedRunMillis run time that was expected at the arrival, for the estimate of waits.
  */
 public data class Waiting(
     val id: Long,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FairQueueTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FairQueueTest.kt
@@ -20,7 +20,7 @@
             val queue = FairQueue()
             repeat(40) { queue.add(waiting(it.toLong(), "a"), shareWeight = 3) }
             repeat(40) { queue.add(waiting(100L + it, "b"), shareWeight = 1) }
-            val started = List(40) { queue.peek { true }!!.also { queue.start(it.id) }.teamId }
+            val started = List(40) { queue.peek { true }!!.also { queue.start(it.id, 1.0, nowMillis = 0) }.teamId }
             started.count { it == "a" } shouldBe 30
         }
 
@@ -29,7 +29,7 @@
             queue.add(waiting(1, "a"), shareWeight = 1)
             queue.add(waiting(2, "b"), shareWeight = 1)
             queue.peek { it != "a" }?.id shouldBe 2
-            queue.start(2)
+            queue.start(2, 1.0, nowMillis = 0)
             queue.peek { true } shouldBe null
             queue.unblock("a")
             queue.peek { true }?.id shouldBe 1
@@ -42,7 +42,7 @@
             queue.add(waiting(3, "a", QueueClass.URGENT), shareWeight = 1)
             queue.advance(499)
             queue.peek { true }?.id shouldBe 3
-            queue.start(3)
+            queue.start(3, 1.0, nowMillis = 0)
             queue.peek { true }?.id shouldBe 1
             queue.advance(500)
             queue.peek { true }?.id shouldBe 2
@@ -54,7 +54,7 @@
             val started = ArrayList<Long>()
             for (id in 1L..100L) {
                 queue.add(waiting(id, "a", QueueClass.URGENT), shareWeight = 1)
-                started += queue.peek { true }!!.id.also(queue::start)
+                started += queue.peek { true }!!.id.also { queue.start(it, 1.0, nowMillis = 0) }
             }
             started.indexOf(0L) shouldBe FairQueue.MAX_PASSED_OVER
         }
@@ -87,8 +87,8 @@
                     val next = queue.peek { it !in full }
                     next shouldBe naive.peek { it !in full }
                     if (next != null && random.nextInt(5) > 0) {
-                        queue.start(next.id)
-                        naive.start(next.id)
+                        queue.start(next.id, next.expectedRunMillis, nowMillis)
+                        naive.start(next.id, next.expectedRunMillis)
                     }
                 }
                 7 -> random.nextLong(step + 1L).let { queue.remove(it) shouldBe naive.remove(it) }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/NaiveFairQueue.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/NaiveFairQueue.kt
@@ -47,7 +47,10 @@
         return null
     }
 
-    fun start(id: Long) {
+    fun start(
+        id: Long,
+        chargedMillis: Double,
+    ) {
         val entry = entries.first { it.waiting.id == id }
         virtualTime = systemTime()
         passedOver[entry.lane] = 0
@@ -55,7 +58,7 @@
             .filter { it > entry.lane && firstIn(it) != null }
             .forEach { passedOver.merge(it, 1, Int::plus) }
         entries.remove(entry)
-        charge(entry.waiting.teamId, entry.waiting.expectedRunMillis)
+        charge(entry.waiting.teamId, chargedMillis)
     }
 
     fun charge(
