--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/WholePathTest.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/WholePathTest.kt
@@ -5,24 +5,14 @@
 import io.kotest.matchers.shouldBe
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
-import io.ktor.client.request.get
 import io.ktor.client.request.header
 import io.ktor.client.request.request
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
-import org.verbenagauge.entry.Entry
 import org.verbenagauge.entry.caller.CallerHeaders
-import org.verbenagauge.entry.clock.systemClock
-import org.verbenagauge.entry.entry
-import org.verbenagauge.entry.settings.EntrySettings
-import org.verbenagauge.entry.settings.IdentitySettings
 import org.verbenagauge.entry.settings.LimitSettings
-import org.verbenagauge.entry.settings.ListenerSettings
-import org.verbenagauge.entry.settings.PlatformSettings
-import org.verbenagauge.entry.state.changeLog
-import org.verbenagauge.entry.state.httpPlatform
 
 private data class PathCase(
     val name: String,
@@ -41,9 +31,9 @@
         val growers = "Bearer ${demoKey("growers")}"
         val buyers = "Bearer ${demoKey("buyers")}"
         val client = HttpClient(CIO)
-        lateinit var path: LoopbackPath
+        lateinit var path: LoopbackEntry
 
-        beforeSpec { path = loopbackPath() }
+        beforeSpec { path = loopback() }
         afterSpec {
             path.entry.stop()
             client.close()
@@ -108,7 +98,7 @@
                 ),
             ) { case ->
                 val response =
-                    client.request("${path.base}/v1/queues/${case.queueId}/jobs") {
+                    client.request("http://127.0.0.1:${path.callerPort}/v1/queues/${case.queueId}/jobs") {
                         method = case.method
                         case.authorization?.let { header(HttpHeaders.Authorization, it) }
                         case.deadline?.let { header(CallerHeaders.DEADLINE_MILLIS, it) }
@@ -122,42 +112,16 @@
         }
 
         test("given a started entry, when health is asked for, then it is ready") {
-            client.get("${path.operatorBase}/health").bodyAsText() shouldBe "ready\n"
+            path.health() shouldBe "ready"
         }
     })
 
-private class LoopbackPath(
-    val entry: Entry,
-    val base: String,
-    val operatorBase: String,
-)
-
-private suspend fun loopbackPath(): LoopbackPath {
-    val host = "127.0.0.1"
-    val endpoint = EndpointStandIn("worker-0", runMillis = 0).server(host, 0).start(wait = false)
-    val platform = PlatformStandIn()
-    platform.put(
-        demoInstance(
-            0,
-            endpoint.engine
-                .resolvedConnectors()
-                .first()
-                .port,
-        ),
-    )
-    val platformServer = platform.server(host, 0).start(wait = false)
-    val platformBase = "http://$host:${platformServer.engine.resolvedConnectors().first().port}"
-    seed(changeLog(httpPlatform(platformBase, timeoutMillis = 5_000).table, systemClock()), endpoints = 1)
-    val settings =
-        EntrySettings(
-            entry = IdentitySettings("entry-0", "zone-0", "region-0"),
-            caller = ListenerSettings(host, 0),
-            operator = ListenerSettings(host, 0),
-            platform = PlatformSettings(platformBase),
-            limits = LimitSettings(maxBodyBytes = 1_000, staleAfterMillis = 60_000),
-        )
-    val entry = entry(settings)
-    entry.start()
-    entry.awaitReady()
-    return LoopbackPath(entry, "http://$host:${entry.callerPort()}", "http://$host:${entry.operatorPort()}")
+private suspend fun loopback(): LoopbackEntry {
+    val endpoint = EndpointStandIn("worker-0", runMillis = 0).server("127.0.0.1", 0).start(wait = false)
+    val port =
+        endpoint.engine
+            .resolvedConnectors()
+            .first()
+            .port
+    return LoopbackEntry.start(listOf(port), LimitSettings(maxBodyBytes = 1_000, staleAfterMillis = 60_000))
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.admission.AdmissionTicker
 import org.verbenagauge.entry.admission.JobService
+import org.verbenagauge.entry.admission.admissionMetrics
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
@@ -74,6 +75,10 @@
             notify = placementLog(log),
         )
 
+    init {
+        admissionMetrics(registry, jobs)
+    }
+
     private val inForceLog = InForceLog(state.platform.table, state.service, settings.entry.id, clock)
 
     private val callers: EmbeddedServer<*, *> =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/caller/CallerListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/caller/CallerListener.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.netty.Netty
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.header
@@ -65,6 +66,8 @@
 ) {
     val reader = JobReader(maxBodyBytes)
     routing {
+        // The handler is cancelled when the caller has left.
+        install(HttpRequestLifecycle) { cancelCallOnClose = true }
         route("/v1/queues/{queue}/jobs") {
             post {
                 val answer =
