--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointPool.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointPool.kt
@@ -214,7 +214,7 @@
     }
 
     private fun othersRatio(state: EndpointState): Double {
-        val others = states.values.filter { it !== state && it.view.mayStart }
+        val others = states.values.filter { it !== state && it.view.mayStart && it.isKnown }
         return if (others.isEmpty()) 1.0 else others.sumOf { it.failureRatio } / others.size
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointState.kt
@@ -25,6 +25,9 @@
     var meanRunMillis: Double = 0.0
         private set
 
+    /** Whether anything ended here. */
+    val isKnown: Boolean get() = outcomes > 0
+
     private var outcomes = 0
     private var backoffMillis = MIN_BACKOFF_MILLIS
     private var successesInRow = 0
@@ -89,7 +92,7 @@
         const val MIN_OUTCOMES = 10
         const val MIN_FAILURE_RATIO = 0.4
         const val MIN_CONSECUTIVE_FAILURES = 3
-        const val OTHERS_FACTOR = 2.0
+        const val OTHERS_FACTOR = 4.0
         const val SUCCESSES_TO_RESET_BACKOFF = 20
         const val MIN_BACKOFF_MILLIS = 1_000L
         const val MAX_BACKOFF_MILLIS = 30_000L
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceFuzzTest.kt
@@ -4,11 +4,13 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import org.verbenagauge.entry.Job
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.Verdict
@@ -27,6 +29,7 @@
 private const val TICK_MILLIS = 20L
 private const val MAX_QUEUED_PER_POOL = 15
 private const val MAX_JOBS = 60
+private const val HANG_MILLIS = 60_000L
 private const val STOP_MILLIS = 1_500L
 
 // After the last answer, every right must be back within the longest run and a tick.
@@ -64,7 +67,7 @@
         val ticker = scope.launch { tickForEver() }
         val chaos = scope.launch { causeFaults() }
         val callers = List(random.nextInt(10, 120)) { index -> scope.launch { call(index) } }
-        callers.joinAll()
+        withTimeoutOrNull(HANG_MILLIS) { callers.joinAll() } shouldNotBe null
         chaos.join()
         delay(SETTLE_MILLIS)
         ticker.cancel()
@@ -74,6 +77,7 @@
     private suspend fun tickForEver() {
         while (true) {
             entries.forEach { it.tick() }
+            entries.forEach { (it.queuedCount <= MAX_QUEUED_PER_POOL) shouldBe true }
             delay(TICK_MILLIS)
         }
     }
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/placement/EndpointPoolTest.kt
@@ -0,0 +1,160 @@
+package org.verbenagauge.entry.placement
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.rights.SplitRights
+import kotlin.random.Random
+
+private const val SLOTS = 8
+private const val WORKERS = 6
+private const val SCHEDULES = 300
+private const val STEPS = 150
+private val need = PlacementNeed(idempotent = true)
+private val uniqueNeed = PlacementNeed(idempotent = false)
+
+class EndpointPoolTest :
+    FunSpec({
+        test("given random outcomes and views, when endpoints are ejected, then never more than the budget") {
+            repeat(SCHEDULES) { seed -> withClue("seed $seed") { ejectAtRandom(Random(seed)) } }
+        }
+
+        test("given a worker that fails every job at once, when work goes on, then it gets few requests") {
+            val fleet = Fleet(maxAway = 1)
+            repeat(1_000) { fleet.runOne(it.toLong(), failing = setOf("worker-0")) }
+            fleet.pool.ejectedIds shouldBe setOf("worker-0")
+            (fleet.sentTo("worker-0") < 20) shouldBe true
+        }
+
+        test("given an ejected worker, when its probe succeeds, then it takes work again") {
+            val fleet = Fleet(maxAway = 1)
+            repeat(300) { fleet.runOne(it.toLong(), failing = setOf("worker-0")) }
+            fleet.pool.take(uniqueNeed, nowMillis = 100_000)?.isProbe shouldBe false
+            val probe = fleet.pool.take(need, nowMillis = 100_000)!!
+            probe.isProbe shouldBe true
+            fleet.pool.take(need, nowMillis = 100_000)?.isProbe shouldBe false
+            fleet.pool.succeeded(probe, lazyOf(1), runMillis = 5.0)
+            fleet.pool.ejectedIds.shouldBeEmpty()
+            fleet.pool.takeNotices() shouldContain PlacementNotice.Restored("worker-0")
+        }
+
+        test("given a request from before the ejection, when it succeeds, then the worker stays ejected") {
+            val fleet = Fleet(maxAway = 1)
+            repeat(300) { fleet.runOne(it.toLong(), failing = setOf("worker-0")) }
+            fleet.pool.succeeded(Placement(EndpointAddress("worker-0", "127.0.0.1", 1)), lazyOf(1), runMillis = 5.0)
+            fleet.pool.ejectedIds shouldBe setOf("worker-0")
+        }
+
+        test("given a pool in which all workers fail, when work goes on, then none is ejected") {
+            val fleet = Fleet(maxAway = 3)
+            repeat(500) { fleet.runOne(it.toLong(), failing = fleet.instanceIds.toSet()) }
+            fleet.pool.ejectedIds.shouldBeEmpty()
+        }
+
+        test("given a job that fails everywhere, when it is sent again and again, then no worker is ejected") {
+            val fleet = Fleet(maxAway = 3)
+            repeat(400) {
+                fleet.runOne(it.toLong(), failing = emptySet())
+                fleet.runOne(BAD_JOB, failing = fleet.instanceIds.toSet())
+            }
+            fleet.pool.ejectedIds.shouldBeEmpty()
+            fleet.notices.filterIsInstance<PlacementNotice.BadJob>().size shouldBe 1
+        }
+
+        test("given an endpoint that said that it drains, when the list still shows it, then it gets no new work") {
+            val fleet = Fleet(maxAway = 0)
+            fleet.pool.draining("worker-0", nowMillis = 0)
+            fleet.pool.update(fleet.views(emptySet()), maxAway = 0)
+            repeat(WORKERS * SLOTS) {
+                fleet.pool
+                    .take(uniqueNeed, 0)
+                    ?.address
+                    ?.instanceId shouldNotBe "worker-0"
+            }
+            fleet.pool.take(uniqueNeed, nowMillis = 0) shouldBe null
+        }
+
+        test("given a retry, when other endpoints are free, then it avoids the one that was tried") {
+            val fleet = Fleet(maxAway = 0)
+            val tried = PlacementNeed(idempotent = true, triedInstanceIds = setOf("worker-3"))
+            val taken =
+                List((WORKERS - 1) * SLOTS) {
+                    fleet.pool
+                        .take(tried, 0)
+                        ?.address
+                        ?.instanceId
+                }
+            taken shouldNotContain "worker-3"
+            fleet.pool.take(tried, nowMillis = 0) shouldBe null
+            fleet.pool
+                .take(tried.copy(mayRepeat = true), nowMillis = 0)
+                ?.address
+                ?.instanceId shouldBe "worker-3"
+        }
+    })
+
+private const val BAD_JOB = -1L
+
+private class Fleet(
+    maxAway: Int,
+) {
+    val instanceIds = List(WORKERS) { "worker-$it" }
+    private val rights = SplitRights { SLOTS }
+    val pool = EndpointPool(rights, seed = 1)
+    val notices = ArrayList<PlacementNotice>()
+    private val sent = HashMap<String, Int>()
+
+    init {
+        pool.update(views(emptySet()), maxAway)
+    }
+
+    fun views(leaving: Set<String>) =
+        instanceIds.map { EndpointView(EndpointAddress(it, "127.0.0.1", 1), it !in leaving) }
+
+    fun sentTo(instanceId: String) = sent[instanceId] ?: 0
+
+    fun runOne(
+        jobKey: Long,
+        failing: Set<String>,
+        nowMillis: Long = 0,
+    ) {
+        val placement = pool.take(need, nowMillis) ?: return
+        val instanceId = placement.address.instanceId
+        sent.merge(instanceId, 1, Int::plus)
+        rights.release(Resource.Slot(instanceId))
+        pool.released(instanceId)
+        if (instanceId in failing) {
+            pool.failed(instanceId, jobKey, jobKey, nowMillis)
+        } else {
+            pool.succeeded(placement, lazyOf(jobKey), runMillis = 10.0)
+        }
+        notices += pool.takeNotices()
+    }
+}
+
+private fun ejectAtRandom(random: Random) {
+    var maxAway = random.nextInt(4)
+    var leaving = emptySet<String>()
+    val fleet = Fleet(maxAway)
+    var nowMillis = 0L
+    var failing = fleet.instanceIds.filter { random.nextInt(3) == 0 }.toSet()
+    repeat(STEPS) { step ->
+        nowMillis += random.nextLong(200)
+        when (random.nextInt(12)) {
+            0 -> failing = fleet.instanceIds.filter { random.nextInt(3) == 0 }.toSet()
+            1 -> {
+                maxAway = random.nextInt(4)
+                leaving = fleet.instanceIds.filter { random.nextInt(4) == 0 }.toSet()
+                fleet.pool.update(fleet.views(leaving), maxAway)
+            }
+            else -> fleet.runOne(step.toLong(), failing, nowMillis)
+        }
+        val budget = maxOf(0, maxAway - leaving.size)
+        withClue("step $step") { (fleet.pool.ejectedIds.size <= budget) shouldBe true }
+    }
+}
