--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -9,8 +9,8 @@
 import org.verbenagauge.entry.account.register
 import org.verbenagauge.entry.admission.AdmissionTicker
 import org.verbenagauge.entry.admission.JobService
-import org.verbenagauge.entry.caller.CallerLimits
 import org.verbenagauge.entry.admission.admissionMetrics
+import org.verbenagauge.entry.caller.CallerLimits
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
