--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/EntryState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/EntryState.kt
@@ -100,7 +100,7 @@
             changes = changes,
             platform = guarded,
             network = network,
-            memberOf = { id -> member(settings, id, requireNotNull(network).port()) },
+            memberOf = { id -> member(settings, id, network?.port() ?: 0) },
             clock = clock,
             log = log,
             limits = ForceLimits(staleAfterMillis = settings.limits.staleAfterMillis),
@@ -130,4 +130,4 @@
     settings: EntrySettings,
     id: PeerId,
     port: Int,
-) = Member(id, requireNotNull(settings.peers).host, port, settings.entry.zoneId, settings.entry.regionId)
+) = Member(id, settings.peers?.host.orEmpty(), port, settings.entry.zoneId, settings.entry.regionId)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Membership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Membership.kt
@@ -96,7 +96,7 @@
     /** It has stopped acting and removes itself. */
     LEFT,
 
-    /** An operator says that its process has ended. */
+    /** An operator says that its process has ended; this may also be said of a past member. */
     STOPPED,
 }
 
@@ -127,9 +127,15 @@
     edit: MembershipEdit.Remove,
     version: Long,
 ): PartOutcome<Membership> {
-    if (edit.id !in this) return rejected("entry '${edit.id.entryId}' with this incarnation is not a member")
-    val ended = if (edit.cause == RemoveCause.SILENT) emptyList() else listOf(edit.id)
-    return PartOutcome.Edited(next(members.filter { it.id != edit.id }, ended, edit, version))
+    val wasMember = edit.id !in stopped && past.any { edit.id in it.ids }
+    return when {
+        edit.id in this -> {
+            val ended = if (edit.cause == RemoveCause.SILENT) emptyList() else listOf(edit.id)
+            PartOutcome.Edited(next(members.filter { it.id != edit.id }, ended, edit, version))
+        }
+        edit.cause == RemoveCause.STOPPED && wasMember -> PartOutcome.Edited(copy(stopped = stopped + edit.id))
+        else -> rejected("entry '${edit.id.entryId}' with this incarnation is not a member")
+    }
 }
 
 private fun Membership.next(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateEvent.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateEvent.kt
@@ -3,10 +3,12 @@
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
 
-/** What happens to a [StateService]. */
+/** What happens to a [StateCore]. */
 internal sealed interface StateEvent {
-    /** Time has passed. */
-    data object Tick : StateEvent
+    /** Time has passed; [reachable] are the peers with a live connection. */
+    class Tick(
+        val reachable: List<PeerId>,
+    ) : StateEvent
 
     /** A peer has sent [message]. */
     class Received(
@@ -19,17 +21,19 @@
         val version: Long,
     ) : StateEvent
 
-    /** A check of the table service that began at [askedAtMillis] has ended. */
+    /**
+     * A check of the table service that began at [askedAtMillis] has ended.
+     *
+     * @property version version at which every stored change was held, or null when there was no answer.
+     */
     class StoreChecked(
-        val outcome: ReadOutcome<Long>,
+        val version: Long?,
         val askedAtMillis: Long,
     ) : StateEvent
 
-    /** The instance list shows [instances]. */
-    class Listed(
-        val instances: List<ListedInstance>,
-    ) : StateEvent
-
     /** A proposal of this entry for the members has ended. */
     data object Proposed : StateEvent
+
+    /** This entry will not act any more. */
+    data object Stopped : StateEvent
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateService.kt
@@ -57,14 +57,11 @@
     private val network = parts.network
     private val events = Channel<StateEvent>(EVENT_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val snapshots = SnapshotStore(parts.platform.objects)
-    private val assembler = SnapshotAssembler()
     private val ready = CompletableDeferred<Unit>()
-    private var core = newCore()
-    private var planner = MembershipPlanner(parts.limits, random)
-    private var listed = emptyList<ListedInstance>()
-    private var heldVersion = 0L
-    private var proposing = false
-    private var storeAnswered = true
+    private var view = FleetView(ControlState(), emptyList())
+
+    // Kept when this part is started again, so that it still knows that it was a member.
+    private var keptCore: StateCore? = null
 
     @Volatile private var mayActUntilMillis: Long? = null
 
@@ -76,6 +73,8 @@
 
     @Volatile private var stopped = false
 
+    @Volatile private var storeAnswered = true
+
     init {
         changes.onStored { events.trySend(StateEvent.Stored(it)) }
         network?.subscribe { from, message ->
@@ -90,15 +89,19 @@
 
     override fun versionInForceEverywhere(): Long = inForceVersion
 
+    /** Last accepted version that this entry knows. */
+    public fun acceptedVersion(): Long = acceptedVersion
+
     /** Whether this entry has been certain of its state at least once. */
     public fun isReady(): Boolean = ready.isCompleted
 
     /** Waits until this entry is certain of its state for the first time. */
     public suspend fun awaitReady(): Unit = ready.await()
 
-    /** Ends the right of this entry to act and takes it out of the members; returns when that is stored or times out. */
+    /** Ends the right of this entry to act and takes it out of the members; returns when that is stored, or in vain. */
     public suspend fun leave() {
         stopped = true
+        events.send(StateEvent.Stopped)
         val id = network?.localId ?: return
         withTimeoutOrNull(LEAVE_TIMEOUT_MILLIS) {
             while (id in changes.state.value.membership) {
@@ -110,16 +113,25 @@
 
     override suspend fun run(): Unit =
         coroutineScope {
-            proposing = false
-            loadSnapshot()
+            val core = keptCore ?: newCore().also { keptCore = it }
+            snapshots.latest()?.let(changes.history::load)
             launch { tickForever() }
             launch { listForever() }
-            for (event in events) handle(event, this)
+            for (event in events) {
+                core.handle(event, clock.monotonicMillis()).forEach { perform(it, core, this) }
+                conclude(core)
+            }
         }
 
+    private suspend fun newCore(): StateCore {
+        val id = network?.localId ?: PeerId(parts.entryId, 0)
+        val role = if (network == null) ForceRole.ALONE else ForceRole.PEER
+        return StateCore(parts.memberOf(id), role, parts.limits, random, changes.history)
+    }
+
     private suspend fun tickForever() {
         while (true) {
-            events.send(StateEvent.Tick)
+            events.send(StateEvent.Tick(network?.reachable().orEmpty()))
             delay(TICK_MILLIS)
         }
     }
@@ -127,167 +139,78 @@
     private suspend fun listForever() {
         while (true) {
             val answer = parts.platform.instances.list()
-            if (answer is ReadOutcome.Found) events.send(StateEvent.Listed(answer.value))
+            if (answer is ReadOutcome.Found) publishList(answer.value)
             delay(parts.listPollMillis)
         }
     }
 
-    private suspend fun loadSnapshot() {
-        val snapshot = snapshots.latest() ?: return
-        changes.history.load(snapshot)
-    }
-
-    private suspend fun handle(
-        event: StateEvent,
-        scope: CoroutineScope,
-    ) {
-        val nowMillis = clock.monotonicMillis()
-        perform(hold(nowMillis), scope)
-        val actions =
-            when (event) {
-                is StateEvent.Tick -> tick(nowMillis, scope)
-                is StateEvent.Received -> received(event, nowMillis)
-                is StateEvent.Stored -> core.stored(event.version, nowMillis)
-                is StateEvent.StoreChecked -> storeChecked(event, nowMillis)
-                is StateEvent.Listed -> listed(event)
-                is StateEvent.Proposed -> emptyList<ForceAction>().also { proposing = false }
-            }
-        perform(actions, scope)
-        perform(hold(nowMillis), scope)
-        conclude(nowMillis)
-    }
-
-    // The parts of this entry act on a version before it counts as held.
-    private fun hold(nowMillis: Long): List<ForceAction> {
-        val state = changes.state.value
-        if (state.version <= heldVersion) return emptyList()
-        heldVersion = state.version
-        publish(FleetView(state, listed))
-        parts.log.write(Event.CONFIGURATION_IN_FORCE, "version ${state.version} is in force in this entry")
-        return core.hold(state, nowMillis)
-    }
-
-    private fun conclude(nowMillis: Long) {
+    private fun conclude(core: StateCore) {
         mayActUntilMillis = core.mayActUntilMillis
         inForceVersion = core.inForceVersion
         acceptedVersion = core.acceptedVersion
-        poller = core.isPoller()
-        val untilMillis = mayActUntilMillis
-        if (untilMillis != null && nowMillis <= untilMillis && changes.state.value.version > 0) ready.complete(Unit)
-    }
-
-    private suspend fun tick(
-        nowMillis: Long,
-        scope: CoroutineScope,
-    ): List<ForceAction> {
-        val reachable = network?.reachable().orEmpty()
-        val actions = core.tick(reachable, nowMillis)
-        planMembership(reachable, nowMillis, scope)
-        return actions
+        poller = core.isPoller
+        if (isFresh() && changes.state.value.version > 0) ready.complete(Unit)
     }
 
-    private suspend fun planMembership(
-        reachable: List<PeerId>,
-        nowMillis: Long,
+    private suspend fun perform(
+        action: StateAction,
+        core: StateCore,
         scope: CoroutineScope,
     ) {
-        if (network == null || stopped || proposing || !storeAnswered) return
-        val local = parts.memberOf(network.localId)
-        val view =
-            MembershipView(local, changes.state.value.membership, reachable, core.acceptedVersion, core.isPoller())
-        val edit = planner.plan(view, nowMillis) ?: return
-        proposing = true
-        scope.launch {
-            propose(edit)
-            events.send(StateEvent.Proposed)
-        }
-    }
-
-    private suspend fun propose(edit: MembershipEdit) {
-        if (changes.check() is ReadOutcome.Unavailable) return
-        changes.propose(changes.state.value.version, edit, parts.entryId, UUID.randomUUID().toString())
-    }
-
-    private fun received(
-        event: StateEvent.Received,
-        nowMillis: Long,
-    ): List<ForceAction> {
-        if (event.message is StateMessage.SnapshotPart) {
-            assembler.add(event.from, event.message)?.let(changes.history::load)
-        }
-        return core.received(event.from, event.message, nowMillis)
-    }
-
-    private fun storeChecked(
-        event: StateEvent.StoreChecked,
-        nowMillis: Long,
-    ): List<ForceAction> {
-        val answered = event.outcome is ReadOutcome.Found
-        if (answered != storeAnswered) {
-            val logged = if (answered) Event.PLATFORM_AVAILABLE else Event.PLATFORM_UNAVAILABLE
-            parts.log.write(logged, "table service: ${event.outcome}")
+        when (action) {
+            is StateAction.Publish -> publishControl(action.control)
+            is StateAction.Send -> network?.send(action.to, action.message)
+            is StateAction.CheckStore -> scope.launch { checkStore() }
+            is StateAction.Propose -> scope.launch { proposeAndTell(action.edit) }
+            is StateAction.RenewIncarnation -> renewIncarnation(core)
+            is StateAction.ReportBroken -> parts.log.write(Event.CHANGE_REFUSED, action.problem)
         }
-        storeAnswered = answered
-        return core.storeChecked((event.outcome as? ReadOutcome.Found)?.value, event.askedAtMillis, nowMillis)
     }
 
-    private fun listed(event: StateEvent.Listed): List<ForceAction> {
-        if (event.instances != listed) {
-            listed = event.instances
-            publish(FleetView(changes.state.value, listed))
-        }
-        return emptyList()
+    @Synchronized
+    private fun publishControl(control: ControlState) {
+        view = view.copy(control = control)
+        publish(view)
+        parts.log.write(Event.CONFIGURATION_IN_FORCE, "version ${control.version} is in force in this entry")
     }
 
-    private fun perform(
-        actions: List<ForceAction>,
-        scope: CoroutineScope,
-    ) = actions.forEach { action ->
-        when (action) {
-            is ForceAction.Send -> network?.send(action.to, action.message)
-            is ForceAction.SendChanges -> sendChanges(action)
-            is ForceAction.Follow -> action.encodedChanges.forEach(::follow)
-            is ForceAction.CheckStore -> scope.launch { checkStore() }
-            is ForceAction.RenewIncarnation -> renewIncarnation()
-        }
+    @Synchronized
+    private fun publishList(instances: List<ListedInstance>) {
+        if (instances == view.listed) return
+        view = view.copy(listed = instances)
+        publish(view)
     }
 
-    private fun follow(encoded: String) {
-        val outcome = changes.history.follow(encoded)
-        if (outcome is FollowOutcome.Broken) parts.log.write(Event.CHANGE_REFUSED, outcome.problem)
+    private suspend fun proposeAndTell(edit: MembershipEdit) {
+        propose(edit)
+        events.send(StateEvent.Proposed)
     }
 
-    private fun sendChanges(action: ForceAction.SendChanges) {
-        val encoded = changes.history.after(action.afterVersion, MAX_CHANGES_CHARS)
-        if (encoded != null) {
-            network?.send(action.to, StateMessage.Changes(encoded, core.report(clock.monotonicMillis())))
-        } else {
-            snapshotParts(changes.state.value).forEach { network?.send(action.to, it) }
-        }
+    private suspend fun propose(edit: MembershipEdit) {
+        if (changes.check() is ReadOutcome.Unavailable) return
+        changes.propose(changes.state.value.version, edit, parts.entryId, UUID.randomUUID().toString())
     }
 
     private suspend fun checkStore() {
         val askedAtMillis = clock.monotonicMillis()
-        events.send(StateEvent.StoreChecked(changes.check(), askedAtMillis))
+        val outcome = changes.check()
+        noteAnswer(outcome)
+        events.send(StateEvent.StoreChecked((outcome as? ReadOutcome.Found)?.value, askedAtMillis))
         if (poller) snapshots.write(changes.state.value)
     }
 
-    private fun renewIncarnation() {
-        if (stopped) return
-        parts.log.write(Event.MEMBER_REMOVED, "the members have removed this entry; it joins with a new incarnation")
-        network?.renewIncarnation()
-        core = newCore()
-        planner = MembershipPlanner(parts.limits, random)
-        core.hold(changes.state.value, clock.monotonicMillis())
-    }
-
-    private fun newCore(): ForceCore {
-        val id = network?.localId ?: PeerId(parts.entryId, 0)
-        val role = if (network == null) ForceRole.ALONE else ForceRole.PEER
-        return ForceCore(id, role, parts.limits, random)
+    private fun noteAnswer(outcome: ReadOutcome<Long>) {
+        val answered = outcome is ReadOutcome.Found
+        if (answered == storeAnswered) return
+        storeAnswered = answered
+        val event = if (answered) Event.PLATFORM_AVAILABLE else Event.PLATFORM_UNAVAILABLE
+        parts.log.write(event, "table service: $outcome")
     }
 
-    private companion object {
-        const val MAX_CHANGES_CHARS = 100 * 1_024
+    private suspend fun renewIncarnation(core: StateCore) {
+        parts.log.write(Event.MEMBER_REMOVED, "the members have removed this entry; it joins with a new incarnation")
+        val peers = network ?: return
+        peers.renewIncarnation()
+        core.renew(parts.memberOf(peers.localId), clock.monotonicMillis())
     }
 }
