--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimSchedule.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimSchedule.kt
@@ -12,7 +12,6 @@
 private const val START_MILLIS = 4_000L
 private const val STEPS = 25
 private const val MAX_STEP_MILLIS = 1_500L
-private const val MIN_SETTLE_MILLIS = 5_500L
 private const val SETTLE_PASSES = 24
 private const val SETTLE_PASS_MILLIS = 1_000L
 
@@ -26,6 +25,7 @@
     private val entryCount = random.nextInt(MIN_ENTRIES, MAX_ENTRIES + 1)
     private var operations = 0
     private var started = 0
+    private var replacements = 0
 
     /** What was done, with the virtual time. */
     val trace = mutableListOf<String>()
@@ -47,6 +47,7 @@
     private fun settle() {
         did("heal")
         fleet.faults.heal()
+        while (replacements > 0) pass(SETTLE_PASS_MILLIS)
         if (fleet.alive.isEmpty()) start("e${started++}")
         if (!settles()) confirmStopped()
         settles()
@@ -54,9 +55,8 @@
         oracle.checkSettled()
     }
 
-    // Runs until all is settled and every replacement that is under way has ended.
     private fun settles(): Boolean {
-        pass(MIN_SETTLE_MILLIS)
+        pass(START_MILLIS)
         repeat(SETTLE_PASSES) {
             if (oracle.isSettled()) return true
             pass(SETTLE_PASS_MILLIS)
@@ -143,14 +143,22 @@
         newAddress: Boolean,
     ) {
         entry.crash()
-        fleet.scheduler.after(random.nextLong(5_000)) { start(entry.entryId, newAddress) }
+        replacements++
+        fleet.scheduler.after(random.nextLong(5_000)) {
+            replacements--
+            start(entry.entryId, newAddress)
+        }
     }
 
     // The old process goes on for a while, as when the platform takes an instance for dead that is only paused.
     private fun replaceRunning(entry: SimEntry) {
         entry.pause(random.nextLong(15_000))
         start("e${started++}", newAddress = true)
-        fleet.scheduler.after(random.nextLong(20_000)) { entry.crash() }
+        replacements++
+        fleet.scheduler.after(random.nextLong(20_000)) {
+            replacements--
+            entry.crash()
+        }
     }
 
     private fun leaveAndReplace(entry: SimEntry) {
