--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Membership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Membership.kt
@@ -53,11 +53,14 @@
     val stopped: List<PeerId> = emptyList(),
     val acceptedVersion: Long = 0,
 ) {
+    /** Identities of the current members, in the order of their names. */
+    public val ids: Set<PeerId> by lazy { members.mapTo(LinkedHashSet()) { it.id } }
+
     /** Returns the current member [id], or null. */
     public fun member(id: PeerId): Member? = members.firstOrNull { it.id == id }
 
     /** Whether [id] is a current member. */
-    public operator fun contains(id: PeerId): Boolean = member(id) != null
+    public operator fun contains(id: PeerId): Boolean = id in ids
 }
 
 /** Edit of the members; each carries the version that its author knew to be accepted. */
@@ -96,7 +99,7 @@
     /** It has stopped acting and removes itself. */
     LEFT,
 
-    /** An operator says that its process has ended. */
+    /** An operator says that its process has ended; this may also be said of a past member. */
     STOPPED,
 }
 
@@ -127,9 +130,15 @@
     edit: MembershipEdit.Remove,
     version: Long,
 ): PartOutcome<Membership> {
-    if (edit.id !in this) return rejected("entry '${edit.id.entryId}' with this incarnation is not a member")
-    val ended = if (edit.cause == RemoveCause.SILENT) emptyList() else listOf(edit.id)
-    return PartOutcome.Edited(next(members.filter { it.id != edit.id }, ended, edit, version))
+    val wasMember = edit.id !in stopped && past.any { edit.id in it.ids }
+    return when {
+        edit.id in this -> {
+            val ended = if (edit.cause == RemoveCause.SILENT) emptyList() else listOf(edit.id)
+            PartOutcome.Edited(next(members.filter { it.id != edit.id }, ended, edit, version))
+        }
+        edit.cause == RemoveCause.STOPPED && wasMember -> PartOutcome.Edited(copy(stopped = stopped + edit.id))
+        else -> rejected("entry '${edit.id.entryId}' with this incarnation is not a member")
+    }
 }
 
 private fun Membership.next(
@@ -139,7 +148,7 @@
     version: Long,
 ): Membership {
     val accepted = maxOf(acceptedVersion, edit.acceptedVersion)
-    val before = PastMembership(startVersion, version, members.map { it.id })
+    val before = PastMembership(startVersion, version, ids.toList())
     val kept = (past + before).filter { it.endVersion > accepted }
     val keptIds = kept.flatMapTo(HashSet()) { it.ids }
     return Membership(
