--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -18,6 +18,7 @@
     arrayOf(
         PathLatencyCommand(),
         PathThroughputCommand(),
+        ControlStateCommand(),
         UrgentBurstCommand(),
         ShareNearnessCommand(),
     )
