--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/AccountCommands.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/AccountCommands.kt
@@ -9,7 +9,9 @@
 import org.verbenagauge.entry.account.AccountStatus
 import org.verbenagauge.entry.account.ChainId
 import org.verbenagauge.entry.account.OrderedRecord
+import org.verbenagauge.entry.account.RecordPlace
 import org.verbenagauge.entry.account.SegmentSource
+import org.verbenagauge.entry.account.provedOrder
 import org.verbenagauge.entry.account.showAccount
 import org.verbenagauge.entry.account.verifyAccount
 import java.io.IOException
@@ -23,6 +25,7 @@
         "Who was served and who was refused. Example: verbenagauge account verify --segments copy-of-the-store",
         AccountVerifyCommand(),
         AccountShowCommand(),
+        AccountOrderCommand(),
         AccountHeadCommand(),
     )
 
@@ -72,7 +75,7 @@
 
     override suspend fun carryOut(source: SegmentSource): ExitCode {
         val known = heads.map { parseHead(it) ?: return fail("'$it' is not CHAIN:SEQUENCE:HASH", ExitCode.USAGE) }
-        val report = verifyAccount(source, known)
+        val report = verifyAccount(source, known, SETTLE_MILLIS)
         print(AccountReport.serializer(), report) { reportText(report) }
         return if (report.findings.isEmpty()) ExitCode.OK else ExitCode.DAMAGED
     }
@@ -105,12 +108,37 @@
         printAll(OrderedRecord.serializer(), records, ::recordText)
         System.err.println(
             "${records.size} requests in the order of their hybrid times; the order of one chain is proved by its " +
-                "hashes, the order between two chains by 'proves' alone and otherwise rests on the clocks of the entries",
+                "hashes, the order between two chains rests on their clocks unless 'account order' says that it is proved",
         )
         return ExitCode.OK
     }
 }
 
+@OptIn(ExperimentalCli::class)
+internal class AccountOrderCommand :
+    SegmentCommand(
+        "order",
+        "Say which of two requests came first, and whether that is proved. Example: verbenagauge account order " +
+            "--segments copy --request 1f0c --request 77aa",
+    ) {
+    private val requests by option(ArgType.String, "request", description = "Request id; give two").multiple()
+
+    override suspend fun carryOut(source: SegmentSource): ExitCode {
+        if (requests.size != 2) return fail("name two requests with --request", ExitCode.USAGE)
+        val found = showAccount(source) { it.event.requestId in requests }
+        if (found.size != 2) return fail("the account holds ${found.size} of these requests", ExitCode.INVALID)
+        val (first, second) = found.map { RecordPlace(it.chain, it.sequence) }
+        val order = provedOrder(source)
+        val claim = "answer to ${found[0].event.requestId} before answer to ${found[1].event.requestId}"
+        when {
+            order.isBefore(first, second) -> println("$claim: proved by the hashes")
+            order.isBefore(second, first) -> println("$claim by the clocks, but the hashes prove the opposite")
+            else -> println("$claim by the clocks of the entries alone; the hashes prove neither order")
+        }
+        return ExitCode.OK
+    }
+}
+
 internal class AccountHeadCommand :
     AdminCommand(
         "head",
@@ -143,6 +171,7 @@
 }
 
 private const val HEAD_PARTS = 3
+private const val SETTLE_MILLIS = 30_000L
 
 private fun reportText(report: AccountReport): String =
     buildString {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -21,6 +21,7 @@
 import org.verbenagauge.entry.listener.TlsReloader
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.operator.AdministrationParts
 import org.verbenagauge.entry.operator.Health
 import org.verbenagauge.entry.operator.administrationRoutes
 import org.verbenagauge.entry.operator.operatorListener
@@ -114,14 +115,17 @@
             registry,
             ::health,
             administrationRoutes(
-                state.changes,
-                state.platform.table,
-                inForceLog,
-                state.service,
+                AdministrationParts(
+                    state.changes,
+                    state.platform.table,
+                    inForceLog,
+                    state.service,
+                    account::status,
+                    ::fleetStatus,
+                    clock,
+                ),
                 settings.administration,
-                account::status,
-                ::fleetStatus,
-                clock,
+                overTls = operatorTls != null,
             ),
         )
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountArchive.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountArchive.kt
@@ -24,10 +24,13 @@
  * of each other are compared, which shows a chain that was cut or written again as a whole.
  *
  * @param knownHeads heads that were kept elsewhere, and that the chains have to agree with.
+ * @param settleMillis age, counted back from the newest record, up to which records that only a peer has seen count as
+ * not stored yet instead of missing; 0 for an account that nobody writes any more.
  */
 public suspend fun verifyAccount(
     source: SegmentSource,
     knownHeads: List<AccountEvent.PeerHead> = emptyList(),
+    settleMillis: Long = 0,
 ): AccountReport {
     val findings = mutableListOf<AccountFinding>()
     val names = source.names()
@@ -35,7 +38,7 @@
         findings += AccountFinding(FindingKind.FOREIGN, it, null, "its name is not that of a segment")
     }
     val namesByChain = names.filter { chainOfSegment(it) != null }.groupBy { chainOfSegment(it) }
-    val witnesses = mutableListOf<AccountEvent.PeerHead>()
+    val witnesses = mutableListOf<Witness>()
     val changeHeads = sortedMapOf<Long, String>()
     val verifiers = mutableMapOf<ChainId, ChainVerifier>()
     namesByChain.forEach { (chain, segments) ->
@@ -43,7 +46,7 @@
         val verifier =
             ChainVerifier(chain, findings) { record ->
                 when (val event = record.event) {
-                    is AccountEvent.PeerHead -> witnesses += event
+                    is AccountEvent.PeerHead -> witnesses += Witness(event, record.time.wallMillis)
                     is AccountEvent.ChangeHead -> noteChange(event, chain, record, changeHeads, findings)
                     else -> Unit
                 }
@@ -51,13 +54,26 @@
         verifiers[chain] = verifier
         verifyChain(source, segments.sorted(), verifier, findings)
     }
-    val heads = witnesses + knownHeads
+    val heads = witnesses.map { it.head } + knownHeads
     val agreed = compareHeads(source, namesByChain, heads, findings)
     val chains = verifiers.map { (chain, verifier) -> verifier.report(agreed[chain] ?: -1) }
-    findings += missing(heads, chains)
-    return AccountReport(findings.distinct(), chains.sortedBy { it.chain.toString() }, changeHeads)
+    val settledBeforeMillis = (chains.maxOfOrNull { it.lastWallMillis } ?: 0) - settleMillis
+    val (settled, recent) = witnesses.partition { it.wallMillis <= settledBeforeMillis }
+    findings += missing(settled.map { it.head } + knownHeads, chains)
+    return AccountReport(
+        findings = findings.distinct(),
+        chains = chains.sortedBy { it.chain.toString() },
+        changeHeads = changeHeads,
+        notStoredYet = missing(recent.map { it.head }, chains).map { "${it.place}: ${it.detail}" },
+    )
 }
 
+/** Hash that a chain holds of another one since [wallMillis]. */
+private class Witness(
+    val head: AccountEvent.PeerHead,
+    val wallMillis: Long,
+)
+
 private suspend fun verifyChain(
     source: SegmentSource,
     segments: List<String>,
@@ -130,7 +146,7 @@
                     FindingKind.MISSING_TAIL,
                     chain.toString(),
                     report.lastSequence + 1,
-                    "records ${report.lastSequence + 1} to $seen are missing, or not stored yet",
+                    "records ${report.lastSequence + 1} to $seen are not stored",
                 )
             else -> null
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountFinding.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountFinding.kt
@@ -72,16 +72,19 @@
  * @property findings damage; empty when none was found.
  * @property chains what is known of each chain.
  * @property changeHeads versions of the sequence of changes and their hashes, as the chains hold them.
+ * @property notStoredYet records that a peer has seen lately and that are not stored.
  */
 @Serializable
 public data class AccountReport(
     val findings: List<AccountFinding>,
     val chains: List<ChainReport>,
     val changeHeads: Map<Long, String>,
+    val notStoredYet: List<String> = emptyList(),
 ) {
     /** Returns, in words, what this verification does not prove. */
     public fun notProved(): List<String> =
         listOf("a chain that no other chain names, and of which nothing is stored, does not show") +
+            notStoredYet +
             chains.flatMap(::notProvedOf)
 
     private fun notProvedOf(report: ChainReport): List<String> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
@@ -18,25 +18,48 @@
     public fun install(application: Application)
 }
 
-/** Creates the routes of the administration API and, when the settings hold a session secret, of the console. */
+/**
+ * Parts of the entry that administration uses.
+ *
+ * @property changes sequence of changes.
+ * @property table table service, for past changes.
+ * @property inForceLog when changes came in force everywhere.
+ * @property freshness whether this entry may answer operators.
+ * @property accountStatus what the account of this entry holds.
+ * @property statusSource state of the fleet.
+ * @property clock clock.
+ */
+public class AdministrationParts(
+    public val changes: ChangeLog,
+    public val table: TableService,
+    public val inForceLog: InForceLog,
+    public val freshness: Freshness,
+    public val accountStatus: () -> AccountStatus,
+    public val statusSource: StatusSource,
+    public val clock: Clock,
+)
+
+/**
+ * Creates the routes of the administration API and, when [settings] hold a session secret, of the console.
+ *
+ * @param overTls whether the listener speaks TLS, so that browsers may send sessions over TLS only.
+ */
 public fun administrationRoutes(
-    changes: ChangeLog,
-    table: TableService,
-    inForceLog: InForceLog,
-    freshness: Freshness,
+    parts: AdministrationParts,
     settings: AdministrationSettings,
-    accountStatus: () -> AccountStatus,
-    statusSource: StatusSource,
-    clock: Clock,
+    overTls: Boolean = false,
     keyMint: KeyMint = secureKeyMint(),
 ): AdministrationRoutes {
     val bootstrapKeySha256 = settings.bootstrapKeySha256.ifEmpty { null }
-    val administration = Administration(changes, AuditTrail(table), inForceLog, freshness, bootstrapKeySha256)
-    val api = AdminApi(administration, keyMint, accountStatus, statusSource)
+    val auditTrail = AuditTrail(parts.table)
+    val administration =
+        Administration(parts.changes, auditTrail, parts.inForceLog, parts.freshness, bootstrapKeySha256)
+    val api = AdminApi(administration, keyMint, parts.accountStatus, parts.statusSource)
     val console =
         settings.sessionSecret
             .takeIf { it.isNotEmpty() }
-            ?.let { Console(administration, ConsoleSessions(it), keyMint, statusSource, clock) }
+            ?.let { ConsoleSessions(it, overTls) }
+            ?.let { Console(administration, it, keyMint, parts.statusSource, parts.clock) }
     return AdministrationRoutes { application ->
         api.install(application)
         console?.install(application)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
@@ -244,6 +244,7 @@
             maxAge = maxAgeSeconds,
             path = CONSOLE_PATH,
             httpOnly = true,
+            secure = sessions.overTls,
             extensions = mapOf("SameSite" to "Strict"),
         ),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleSession.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleSession.kt
@@ -13,9 +13,12 @@
 /**
  * Sessions of the console. No entry instance keeps any: the cookie names operator and end, sealed under the secret that
  * all entries share and the hash of the operator's key, so that withdrawing the key ends its sessions everywhere.
+ *
+ * @property overTls whether browsers may send the cookie over TLS only.
  */
 internal class ConsoleSessions(
     secret: String,
+    val overTls: Boolean,
 ) {
     private val key = SecretKeySpec(secret.encodeToByteArray(), ALGORITHM)
 
