--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/StateCommands.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/StateCommands.kt
@@ -111,7 +111,8 @@
 
 private fun waveText(wave: WaveView): String {
     val hold = wave.hold?.let { ", held: $it" }.orEmpty()
-    return "wave ${wave.id}: ${wave.command.name.lowercase()}, ${wave.finished} of ${wave.total} done, ${wave.out} out$hold"
+    val command = wave.command.name.lowercase()
+    return "wave ${wave.id}: $command, ${wave.finished} of ${wave.total} done, ${wave.out} out$hold"
 }
 
 private fun statusText(status: StatusView): String =
