Claim jobs with an idempotency key in the table service, so that at most one request of each runs

A row is claimed on condition that it did not exist or was released, and is never removed to release it: its version must not come back, or a write that takes effect late would hit the claim of another request.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
@@ -87,6 +87,36 @@
     POOL_EMPTY("pool-empty", 503, Verdict.NOT_RUN, "The pool of the queue has no instance; ask an operator."),
     TEAM_LIMIT_ZERO("team-limit-zero", 403, Verdict.NOT_RUN, "The upper limit of the team is 0; ask an operator."),
     ANSWER_TOO_LARGE("answer-too-large", 502, Verdict.RAN, "The answer of the endpoint exceeds the limit."),
+    CLAIM_UNAVAILABLE(
+        "claim-unavailable",
+        503,
+        Verdict.NOT_RUN,
+        "The idempotency key cannot be claimed while the platform does not answer; send the request again.",
+    ),
+    IDEMPOTENCY_KEY_REUSED(
+        "idempotency-key-reused",
+        422,
+        Verdict.NOT_RUN,
+        "The idempotency key names a job with another body; use a new key for a new job.",
+    ),
+    JOB_IN_PROGRESS(
+        "job-in-progress",
+        409,
+        Verdict.MAY_HAVE_RUN,
+        "Another request with this idempotency key has not ended; ask again later.",
+    ),
+    JOB_ALREADY_RAN(
+        "job-already-ran",
+        409,
+        Verdict.RAN,
+        "The job of this idempotency key has run; its answer was too large to be kept.",
+    ),
+    JOB_OUTCOME_UNKNOWN(
+        "job-outcome-unknown",
+        409,
+        Verdict.MAY_HAVE_RUN,
+        "The job of this idempotency key may have run; check before using a new key.",
+    ),
     INTERNAL_ERROR(
         "internal-error",
         500,
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/ClaimRecord.kt
@@ -0,0 +1,78 @@
+package org.verbenagauge.entry.idempotency
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.verbenagauge.entry.JobAnswer
+import org.verbenagauge.entry.state.sha256Hex
+import java.security.MessageDigest
+import java.util.Base64
+import java.util.HexFormat
+
+internal const val CLAIM_PREFIX = "claims/"
+private const val MAX_KEPT_BODY_BYTES = 16_384
+private val claimJson = Json { ignoreUnknownKeys = true }
+
+/**
+ * Row of a claim.
+ *
+ * @property requestId request that claimed the job.
+ * @property bodySha256Hex SHA-256 of the content type and the body, in hexadecimal digits.
+ * @property claimedAtWallMillis wall clock of the claiming entry.
+ * @property released whether the request did not run, so that another may claim the job.
+ * @property outcome how the request ended, or null.
+ */
+@Serializable
+internal data class ClaimRecord(
+    val requestId: String,
+    val bodySha256Hex: String,
+    val claimedAtWallMillis: Long,
+    val released: Boolean = false,
+    val outcome: ClaimedOutcome? = null,
+)
+
+/**
+ * How a claimed request ended.
+ *
+ * @property reasonCode code of the reason.
+ * @property status HTTP status code of the endpoint, or null when it gave no whole answer.
+ * @property contentType content type of the endpoint's answer, or null.
+ * @property bodyBase64 body of the endpoint's answer, or null when it was too large to keep.
+ */
+@Serializable
+internal data class ClaimedOutcome(
+    val reasonCode: String,
+    val status: Int? = null,
+    val contentType: String? = null,
+    val bodyBase64: String? = null,
+)
+
+/** Returns the row of the claim; team, queue and key cannot run into each other. */
+internal fun claimRowKey(
+    teamId: String,
+    queueId: String,
+    idempotencyKey: String,
+): String = CLAIM_PREFIX + sha256Hex("${teamId.length}:$teamId${queueId.length}:$queueId$idempotencyKey")
+
+internal fun bodyHash(
+    contentType: String?,
+    body: ByteArray,
+): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    digest.update("${contentType?.length ?: -1}:${contentType.orEmpty()}".encodeToByteArray())
+    return HexFormat.of().formatHex(digest.digest(body))
+}
+
+internal fun claimedOutcome(answer: JobAnswer): ClaimedOutcome {
+    val endpointAnswer = answer.endpointAnswer ?: return ClaimedOutcome(answer.reason.code)
+    val body = endpointAnswer.body.takeIf { it.size <= MAX_KEPT_BODY_BYTES }
+    return ClaimedOutcome(
+        reasonCode = answer.reason.code,
+        status = endpointAnswer.status,
+        contentType = endpointAnswer.contentType,
+        bodyBase64 = body?.let { Base64.getEncoder().encodeToString(it) },
+    )
+}
+
+internal fun encodeClaim(record: ClaimRecord): String = claimJson.encodeToString(ClaimRecord.serializer(), record)
+
+internal fun decodeClaim(value: String): ClaimRecord = claimJson.decodeFromString(ClaimRecord.serializer(), value)
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/TableClaims.kt
@@ -0,0 +1,99 @@
+package org.verbenagauge.entry.idempotency
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
+import org.verbenagauge.entry.Job
+import org.verbenagauge.entry.JobAnswer
+import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.Verdict
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.state.Row
+import org.verbenagauge.entry.state.RowCondition
+import org.verbenagauge.entry.state.RowWrite
+import org.verbenagauge.entry.state.TableService
+import org.verbenagauge.entry.state.Transaction
+import org.verbenagauge.entry.state.WriteOutcome
+
+private const val CLAIM_ATTEMPTS = 3
+private const val CLAIM_PAUSE_MILLIS = 20L
+private const val UNAVAILABLE_RETRY_MILLIS = 1_000L
+
+/**
+ * Claims in the table service: a request runs only after it wrote the row of its job, on condition that the
+ * row did not exist or was released. While the table service does not answer, nothing can be claimed and
+ * such requests do not run.
+ *
+ * A row is never removed to release it: its version must not come back, so that a write that takes effect
+ * late cannot hit the claim of another request.
+ */
+internal class TableClaims(
+    private val table: TableService,
+    private val clock: Clock,
+    private val settlements: ClaimSettlements,
+) : JobClaims {
+    override suspend fun claim(
+        job: Job,
+        teamId: String,
+        idempotencyKey: String,
+    ): ClaimOutcome {
+        val record = ClaimRecord(job.requestId, bodyHash(job.contentType, job.body), clock.wallMillis())
+        return write(Claim(claimRowKey(teamId, job.queueId, idempotencyKey), record, version = 1))
+    }
+
+    override fun settle(
+        claim: Claim,
+        answer: JobAnswer,
+    ) {
+        val ended =
+            when (answer.verdict) {
+                Verdict.NOT_RUN -> claim.record.copy(released = true)
+                else -> claim.record.copy(outcome = claimedOutcome(answer))
+            }
+        settlements.settle(claim, ended)
+    }
+
+    private suspend fun write(claim: Claim): ClaimOutcome {
+        val transaction =
+            Transaction(
+                operationId = "claim-${claim.record.requestId}-${claim.version}",
+                conditions = listOf(RowCondition(claim.rowKey, claim.version - 1)),
+                writes = listOf(RowWrite(claim.rowKey, encodeClaim(claim.record))),
+            )
+        var mayBeStored = false
+        try {
+            repeat(CLAIM_ATTEMPTS) { attempt ->
+                if (attempt > 0) delay(CLAIM_PAUSE_MILLIS)
+                mayBeStored = true
+                when (val outcome = table.transact(transaction)) {
+                    is WriteOutcome.Applied -> return ClaimOutcome.Granted(claim)
+                    is WriteOutcome.Conflict -> return claimed(claim, outcome.rows)
+                    is WriteOutcome.Unknown -> Unit
+                    is WriteOutcome.Unavailable -> if (attempt == 0) return unavailable()
+                }
+            }
+        } catch (e: CancellationException) {
+            if (mayBeStored) settlements.abandon(claim)
+            throw e
+        }
+        settlements.abandon(claim)
+        return unavailable()
+    }
+
+    // The row is taken by another request, by an attempt of this one whose answer was lost, or released.
+    private suspend fun claimed(
+        claim: Claim,
+        rows: List<Row>,
+    ): ClaimOutcome {
+        val row = rows.firstOrNull { it.key == claim.rowKey } ?: return unavailable()
+        if (row.version == 0L) return unavailable()
+        val existing = decodeClaim(row.value)
+        return when {
+            existing.requestId == claim.record.requestId -> ClaimOutcome.Granted(claim)
+            existing.released -> write(Claim(claim.rowKey, claim.record, row.version + 1))
+            else -> ClaimOutcome.Answered(answerToRepeat(existing, claim.record.bodySha256Hex))
+        }
+    }
+
+    private fun unavailable() =
+        ClaimOutcome.Answered(JobAnswer(Reason.CLAIM_UNAVAILABLE, retryAfterMillis = UNAVAILABLE_RETRY_MILLIS))
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -43,6 +43,7 @@
     ENDPOINT_DRAINING(3003, Level.INFO),
     EJECTION_BUDGET_EXHAUSTED(3004, Level.ERROR),
     JOB_FAILS_EVERYWHERE(3005, Level.WARN),
+    CLAIM_NOT_SETTLED(4101, Level.WARN),
 }
 
 /** Writes numbered events as structured JSON. */
