--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -3,6 +3,9 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import org.verbenagauge.bench.rights.RightsControlCommand
+import org.verbenagauge.bench.rights.RightsSharesCommand
+import org.verbenagauge.bench.rights.RightsStrandedCommand
 
 /** Entry point of the measurements; one subcommand each. */
 @OptIn(ExperimentalCli::class)
@@ -20,4 +23,7 @@
         PathThroughputCommand(),
         UrgentBurstCommand(),
         ShareNearnessCommand(),
+        RightsControlCommand(),
+        RightsSharesCommand(),
+        RightsStrandedCommand(),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/RightsMessage.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/RightsMessage.kt
@@ -1,13 +1,16 @@
 package org.verbenagauge.entry.peers
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.RightsGroup
 import org.verbenagauge.entry.state.HolderId
 import org.verbenagauge.entry.state.ResourceCount
 
 /** Messages that move rights between entries, and that say where they are needed. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public sealed interface RightsMessage : PeerMessage {
     /**
@@ -18,11 +21,11 @@
      * @property stopping whether the sender stops and takes no more rights.
      */
     @Serializable
-    @SerialName("rights-transfer")
+    @SerialName("give")
     public data class Transfer(
-        val stays: Stays,
-        val totals: List<ResourceTotal>,
-        val stopping: Boolean = false,
+        @CborLabel(1) val stays: Stays,
+        @CborLabel(2) val totals: List<ResourceTotal>,
+        @CborLabel(3) val stopping: Boolean = false,
     ) : RightsMessage
 
     /**
@@ -32,10 +35,10 @@
      * @property totals rights received from it in all.
      */
     @Serializable
-    @SerialName("rights-receipt")
+    @SerialName("got")
     public data class Receipt(
-        val stays: Stays,
-        val totals: List<ResourceTotal>,
+        @CborLabel(1) val stays: Stays,
+        @CborLabel(2) val totals: List<ResourceTotal>,
     ) : RightsMessage
 
     /**
@@ -45,25 +48,25 @@
      * @property stopping whether the sender takes no more rights.
      */
     @Serializable
-    @SerialName("rights-demand")
+    @SerialName("need")
     public data class DemandReport(
-        val sequence: Long,
-        val stopping: Boolean,
-        val groups: List<GroupReport>,
+        @CborLabel(1) val sequence: Long,
+        @CborLabel(2) val stopping: Boolean,
+        @CborLabel(3) val groups: List<GroupReport>,
     ) : RightsMessage
 
     /** Tells an entry what it should hold, and which rights to give to whom. */
     @Serializable
-    @SerialName("rights-order")
+    @SerialName("move")
     public data class Order(
-        val groups: List<GroupOrder>,
+        @CborLabel(1) val groups: List<GroupOrder>,
     ) : RightsMessage
 
     /** Asks for the account with [departed], the former members. */
     @Serializable
-    @SerialName("rights-account-request")
+    @SerialName("sum?")
     public data class AccountRequest(
-        val departed: List<HolderId>,
+        @CborLabel(1) val departed: List<HolderId>,
     ) : RightsMessage
 
     /**
@@ -72,10 +75,10 @@
      * @property counts rights sent to them less rights received from them.
      */
     @Serializable
-    @SerialName("rights-account")
+    @SerialName("sum")
     public data class Account(
-        val departed: List<HolderId>,
-        val counts: List<ResourceCount>,
+        @CborLabel(1) val departed: List<HolderId>,
+        @CborLabel(2) val counts: List<ResourceCount>,
     ) : RightsMessage
 }
 
@@ -86,11 +89,12 @@
  * @property toVersion version from which the receiver may hold rights.
  * @property toIncarnation incarnation of the receiver.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class Stays(
-    @SerialName("f") val fromVersion: Long,
-    @SerialName("t") val toVersion: Long,
-    @SerialName("i") val toIncarnation: Long,
+    @CborLabel(1) val fromVersion: Long,
+    @CborLabel(2) val toVersion: Long,
+    @CborLabel(3) val toIncarnation: Long,
 )
 
 /**
@@ -99,10 +103,11 @@
  * @property resource resource.
  * @property total number since the start of the incarnation.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ResourceTotal(
-    @SerialName("r") val resource: Resource,
-    @SerialName("n") val total: Long,
+    @CborLabel(1) val resource: Resource,
+    @CborLabel(2) val total: Long,
 )
 
 /**
@@ -111,11 +116,12 @@
  * @property held rights held.
  * @property teams demand of the teams.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class GroupReport(
-    @SerialName("g") val group: RightsGroup,
-    @SerialName("h") val held: Int,
-    @SerialName("t") val teams: List<TeamDemand>,
+    @CborLabel(1) val group: RightsGroup,
+    @CborLabel(2) val held: Int,
+    @CborLabel(3) val teams: List<TeamDemand>,
 )
 
 /**
@@ -126,12 +132,13 @@
  * @property running requests that run.
  * @property started requests started since the start of the incarnation.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class TeamDemand(
-    @SerialName("i") val teamId: String,
-    @SerialName("w") val waiting: Int,
-    @SerialName("u") val running: Int,
-    @SerialName("s") val started: Long,
+    @CborLabel(1) val teamId: String,
+    @CborLabel(2) val waiting: Int = 0,
+    @CborLabel(3) val running: Int = 0,
+    @CborLabel(4) val started: Long = 0,
 )
 
 /**
@@ -142,25 +149,34 @@
  * @property gives rights to hand over as they become free.
  * @property elsewhere requests that other entries have started.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class GroupOrder(
-    @SerialName("g") val group: RightsGroup,
-    @SerialName("b") val basedOn: Long,
-    @SerialName("k") val target: Int,
-    @SerialName("v") val gives: List<Give>,
-    @SerialName("e") val elsewhere: List<TeamStarted>,
+    @CborLabel(1) val group: RightsGroup,
+    @CborLabel(2) val basedOn: Long,
+    @CborLabel(3) val target: Int,
+    @CborLabel(4) val gives: List<Give> = emptyList(),
+    @CborLabel(5) val elsewhere: List<TeamStarted> = emptyList(),
 )
 
 /** Rights to hand over to [to]. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class Give(
-    @SerialName("p") val to: PeerId,
-    @SerialName("n") val count: Int,
+    @CborLabel(1) val to: PeerId,
+    @CborLabel(2) val count: Int,
 )
 
-/** Requests of [teamId] that were [started]. */
+/**
+ * Requests of a team that other entries have started.
+ *
+ * @property started requests started.
+ * @property localPermille part of the team's service that falls to the receiver, by its demand.
+ */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class TeamStarted(
-    @SerialName("i") val teamId: String,
-    @SerialName("s") val started: Long,
+    @CborLabel(1) val teamId: String,
+    @CborLabel(2) val started: Long,
+    @CborLabel(3) val localPermille: Int,
 )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
@@ -54,7 +54,7 @@
         teamId: String,
     ): Long = fleetCounts.startedElsewhere(poolId, teamId)
 
-    /** Gives one right of [resource] back; it may move on to a peer at once. */
+    /** Gives one right of [resource] back; with an order for it, it is a peer's from now on and leaves with the next tick. */
     public fun release(
         resource: Resource,
         nowMillis: Long,
@@ -63,7 +63,7 @@
         val group = ledger.view.groupOf(resource) ?: return emptyList()
         if (group !in orders && !stopping) return emptyList()
         giveAsOrdered(group, nowMillis)
-        return outbox.due(stopping, nowMillis)
+        return emptyList()
     }
 
     /** Handles that [waiting] requests of [teamId] wait for [poolId]. */
@@ -77,7 +77,10 @@
     public fun started(
         poolId: String,
         teamId: String,
-    ): Unit = demand.started(poolId, teamId)
+    ) {
+        demand.started(poolId, teamId)
+        fleetCounts.started(poolId, teamId)
+    }
 
     /** Handles the end of a request of [teamId] in [poolId]. */
     public fun ended(
@@ -152,9 +155,10 @@
         from: PeerId,
         message: RightsMessage.Transfer,
     ): List<RightsAction> {
-        val receipt = ledger.receive(from, message) ?: return emptyList()
+        val totals = ledger.receive(from, message) ?: return emptyList()
+        outbox.received(from, totals)
         if (message.stopping) stoppingPeers += from
-        return listOf(RightsAction.Send(from, receipt), RightsAction.Gained)
+        return listOf(RightsAction.Gained)
     }
 
     private fun report(nowMillis: Long): List<RightsAction> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsHome.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsHome.kt
@@ -5,11 +5,13 @@
 import org.verbenagauge.entry.peers.GroupReport
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.RightsMessage
+import org.verbenagauge.entry.peers.TeamDemand
 import org.verbenagauge.entry.peers.TeamStarted
 
 private const val REPORT_LIFE_MILLIS = 30_000L
 private const val ELSEWHERE_MILLIS = 500L
 private const val IDLE_MOVE_MIN = 2
+private const val PERMILLE = 1_000
 
 /**
  * Home of groups: collects what the entries hold and need, and says which rights should move. It holds no
@@ -80,10 +82,7 @@
             val gives = matchGives(entries, targets)
             val tellElsewhere = group is RightsGroup.Pool && nowMillis - elsewhereAtMillis >= ELSEWHERE_MILLIS
             if (tellElsewhere) elsewhereAtMillis = nowMillis
-            val startedByTeam = HashMap<String, Long>()
-            reports.values.forEach { report ->
-                report.group.teams.forEach { startedByTeam.merge(it.teamId, it.started, Long::plus) }
-            }
+            val sums = teamSums()
             return reports
                 .mapValues { (id, report) ->
                     GroupOrder(
@@ -91,20 +90,35 @@
                         basedOn = report.sequence,
                         target = targets[id] ?: 0,
                         gives = gives[id].orEmpty(),
-                        elsewhere = if (tellElsewhere) elsewhere(report, startedByTeam) else emptyList(),
+                        elsewhere = if (tellElsewhere) elsewhere(report, sums) else emptyList(),
                     )
                 }.filterValues { it.gives.isNotEmpty() || it.elsewhere.isNotEmpty() }
         }
 
+        private fun teamSums(): Map<String, TeamDemand> {
+            val sums = HashMap<String, TeamDemand>()
+            reports.values.flatMap { it.group.teams }.forEach { sums.merge(it.teamId, it, ::sum) }
+            return sums
+        }
+
         private fun elsewhere(
             report: EntryReport,
-            startedByTeam: Map<String, Long>,
+            sums: Map<String, TeamDemand>,
         ) = report.group.teams
             .filter { it.waiting > 0 || it.running > 0 }
-            .map { TeamStarted(it.teamId, startedByTeam.getValue(it.teamId) - it.started) }
+            .map { team ->
+                val sum = sums.getValue(team.teamId)
+                val permille = PERMILLE * (team.waiting + team.running) / (sum.waiting + sum.running)
+                TeamStarted(team.teamId, sum.started - team.started, permille)
+            }
     }
 }
 
+private fun sum(
+    one: TeamDemand,
+    other: TeamDemand,
+) = TeamDemand(one.teamId, one.waiting + other.waiting, one.running + other.running, one.started + other.started)
+
 /** Pairs entries above their target with entries below; without waiting requests only for a clear imbalance. */
 private fun matchGives(
     entries: List<EntryDemand>,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
@@ -96,19 +96,18 @@
     /** Whether more rights of [resource] are granted than its limit allows. */
     fun isInExcess(resource: Resource): Boolean = view.rights.granted(resource) > view.limit(resource)
 
-    /** Adds the rights of [transfer] and returns the receipt, or null when the message does not count here. */
+    /** Adds the rights of [transfer] and returns what to confirm, or null when the message does not count here. */
     fun receive(
         from: PeerId,
         transfer: RightsMessage.Transfer,
-    ): RightsMessage.Receipt? {
+    ): List<ResourceTotal>? {
         if (from !in view.members || transfer.stays != staysFrom(from)) return null
         val received = account(from).received
         transfer.totals.forEach { (resource, total) ->
             received.merge(resource, total, ::maxOf)
             recompute(resource)
         }
-        val totals = transfer.totals.map { ResourceTotal(it.resource, received.getValue(it.resource)) }
-        return RightsMessage.Receipt(staysTo(from), totals)
+        return transfer.totals.map { ResourceTotal(it.resource, received.getValue(it.resource)) }
     }
 
     fun confirm(
