Let rights move between the entries when peers are configured

A removed member counts as stopped once its removal is in force everywhere, so that no bound of the freshness rule is repeated here. An entry that goes on under a new incarnation keeps counting what still runs.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/MeasuredEntry.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/MeasuredEntry.kt
@@ -2,14 +2,14 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.rights.Resource
-import org.verbenagauge.entry.rights.RightsCore
+import org.verbenagauge.entry.rights.rightsCore
 
 /** One entry of a measured fleet; among its teams it starts the one with the least service for its weight. */
 internal class MeasuredEntry(
     val id: PeerId,
     private val shape: FleetShape,
 ) {
-    val core = RightsCore(id)
+    val core = rightsCore(id)
     private val teamsById = shape.teams.associateBy { it.id }
     private val slotsByPool = shape.poolIds.associateWith { shape.slots(it) }
     private val lanes = shape.poolIds.associateWith { HashMap<String, TeamLane>() }
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsFleet.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsFleet.kt
@@ -86,7 +86,7 @@
     init {
         val view = view()
         entries.forEach { entry ->
-            entry.core.viewChanged(view, 0)
+            entry.core.viewChanged(view)
             at(random.nextLong(TICK_MILLIS)) { tick(entry) }
         }
     }
@@ -114,7 +114,7 @@
 
     private fun tick(entry: MeasuredEntry) {
         at(nowMillis + TICK_MILLIS) { tick(entry) }
-        if (shape.rightsMove) perform(entry, entry.core.tick(members, nowMillis))
+        if (shape.rightsMove) perform(entry, entry.core.tick(members, 1, nowMillis))
         shape.poolIds.forEach { startAll(entry, it) }
     }
 
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsSharesCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsSharesCommand.kt
@@ -35,7 +35,7 @@
             FleetShape(entries, 1, WORKERS, SLOTS, teams, rightsMove, sharesOverFleet, seed.toLong())
         val fleet =
             RightsFleet(shape) { teamId, _, nowMillis ->
-                servedByTeam.getValue(teamId)[(nowMillis / STEP_MILLIS).toInt()] ++
+                servedByTeam.getValue(teamId)[(nowMillis / STEP_MILLIS).toInt()]++
             }
         addDemand(fleet)
         fleet.runUntil(WARM_MILLIS + seconds * STEP_MILLIS - 1)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -11,6 +11,7 @@
 import org.verbenagauge.entry.admission.JobService
 import org.verbenagauge.entry.admission.admissionMetrics
 import org.verbenagauge.entry.caller.CallerLimits
+import org.verbenagauge.entry.admission.OPEN_TEAM_ID
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
@@ -28,10 +29,8 @@
 import org.verbenagauge.entry.placement.httpEndpointClient
 import org.verbenagauge.entry.placement.placementLog
 import org.verbenagauge.entry.rights.Resource
-import org.verbenagauge.entry.rights.SplitRights
-import org.verbenagauge.entry.rights.fixedSplit
+import org.verbenagauge.entry.rights.entryRights
 import org.verbenagauge.entry.settings.EntrySettings
-import org.verbenagauge.entry.state.ControlState
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.Platform
@@ -66,6 +65,7 @@
     private val state = entryState(settings, platform, clock, log, ::publish)
 
     private val account = entryAccount(settings.entry, state, clock, log)
+    private val rights = entryRights(settings.entry, state, clock, log, Resource.Team(OPEN_TEAM_ID))
 
     private val jobs =
         JobService(
@@ -78,7 +78,7 @@
                         maxConnectionsPerEndpoint = connectionsPerEndpoint(),
                     ),
                 ),
-            rights = SplitRights(::partOf),
+            rights = rights.rights,
             freshness = state.service,
             observer = ::answered,
             maxJobs = settings.limits.maxJobs,
@@ -128,6 +128,7 @@
         account.register(registry)
         supervisor.start(account)
         supervisor.start(inForceLog)
+        rights.child?.let(supervisor::start)
         supervisor.start(AdmissionTicker(jobs))
         log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
     }
@@ -165,6 +166,13 @@
         val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
         jobs.stopAccepting(stopByMillis)
         while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
+        jobs.stopAccepting()
+        rights.stop()
+        while ((jobs.heldCount > 0 || !rights.isEmpty()) &&
+            clock.monotonicMillis() < stopByMillis
+        ) {
+            delay(STOP_POLL_MILLIS)
+        }
         state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         account.close(maxOf(stopByMillis, clock.monotonicMillis() + MIN_ACCOUNT_CLOSE_MILLIS))
@@ -190,6 +198,7 @@
 
     private fun publish(view: FleetView) {
         account.changed(view.control)
+        rights.update(view)
         jobs.update(view.control.configuration, endpointsByPool(view))
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EscrowRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EscrowRights.kt
@@ -9,6 +9,7 @@
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.peers.RightsMessage
 import org.verbenagauge.entry.state.Freshness
+import org.verbenagauge.entry.state.InForce
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -28,16 +29,18 @@
  * @param unlimited resources without a limit.
  */
 internal class EscrowRights(
-    private val core: RightsCore,
     private val network: PeerNetwork,
     private val proposer: RightsProposer,
     private val freshness: Freshness,
+    private val inForce: InForce,
     private val clock: Clock,
     private val unlimited: Set<Resource>,
 ) : Rights,
     FleetService,
     Child {
     private val lock = ReentrantLock()
+    private var core = rightsCore(network.localId)
+    private var view = RightsView()
     private val listeners = CopyOnWriteArrayList<() -> Unit>()
     private val proposals = Channel<RightsAction.Propose>(Channel.UNLIMITED)
 
@@ -87,7 +90,10 @@
     ): Long = lock.withLock { core.startedElsewhere(poolId, teamId) }
 
     /** Takes up the shared state that is in force in this entry. */
-    fun update(view: RightsView): Unit = handle { viewChanged(view, clock.monotonicMillis()) }
+    fun update(view: RightsView) {
+        lock.withLock { this.view = view }
+        handle { viewChanged(view) }
+    }
 
     /** Hands all rights over to peers from now on, as they become free. */
     fun stop(): Unit = lock.withLock { core.stop() }
@@ -100,7 +106,8 @@
             launch { for (proposal in proposals) propose(proposal) }
             while (true) {
                 val reachable = network.reachable().toSet()
-                handle { tick(reachable, clock.monotonicMillis()) }
+                val inForceVersion = inForce.versionInForceEverywhere()
+                handle { tick(reachable, inForceVersion, clock.monotonicMillis()) }
                 delay(TICK_MILLIS)
             }
         }
@@ -118,6 +125,7 @@
     private fun handle(event: RightsCore.() -> List<RightsAction>) {
         val gained =
             lock.withLock {
+                renewIncarnation()
                 val actions = core.event()
                 actions.forEach(::perform)
                 RightsAction.Gained in actions
@@ -125,6 +133,13 @@
         if (gained) listeners.forEach { it() }
     }
 
+    private fun renewIncarnation() {
+        val localId = network.localId
+        if (localId == core.localId) return
+        core = core.renewed(localId)
+        core.viewChanged(view)
+    }
+
     private fun perform(action: RightsAction) {
         when (action) {
             is RightsAction.Send -> network.send(action.to, action.message)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/LocalDemand.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/LocalDemand.kt
@@ -19,6 +19,18 @@
     private val pools = HashMap<String, HashMap<String, TeamCounts>>()
     private val told = HashMap<RightsGroup, Told>()
 
+    /** Demand as the next incarnation in this process starts with it. */
+    fun renewed(): LocalDemand {
+        val next = LocalDemand(timing)
+        pools.forEach { (poolId, teams) ->
+            teams.forEach { (teamId, counts) ->
+                next.counts(poolId, teamId).waiting = counts.waiting
+                next.counts(poolId, teamId).running = counts.running
+            }
+        }
+        return next
+    }
+
     fun waiting(
         poolId: String,
         teamId: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsAction.kt
@@ -38,8 +38,6 @@
 /**
  * Times that the decisions about rights rest on, all on the monotonic clock of the process that waits.
  *
- * @property startBoundMillis longest time that an incarnation goes on starting work after its removal has
- *   been accepted, whether it knows of it or not; the freshness rule gives it.
  * @property runMarginMillis allowance for the end of a request past the longest run of its queue, and for
  *   clocks that run at different rates.
  * @property reportMillis shortest time between two reports of one group without new demand.
@@ -48,7 +46,6 @@
  * @property takeOverMillis time that each lower rank leaves to the ranks above it to propose what is needed.
  */
 public data class RightsTiming(
-    val startBoundMillis: Long = 5_000,
     val runMarginMillis: Long = 2_000,
     val reportMillis: Long = 250,
     val evaluateMillis: Long = 100,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
@@ -12,16 +12,16 @@
  * time and does what the actions say. Only [RightsLedger] and the edits keep the limits; all else decides
  * where rights are useful.
  */
-public class RightsCore(
-    private val localId: PeerId,
-    timing: RightsTiming = RightsTiming(),
+public class RightsCore internal constructor(
+    internal val localId: PeerId,
+    private val timing: RightsTiming,
+    private val ledger: RightsLedger,
+    private val demand: LocalDemand,
+    private val fleetCounts: FleetCounts,
 ) {
-    private val ledger = RightsLedger(localId)
     private val proposals = RightsProposals(localId, ledger, timing)
-    private val demand = LocalDemand(timing)
     private val home = RightsHome(timing)
     private val homes = HomeTable(localId)
-    private val fleetCounts = FleetCounts()
     private val outbox = TransferOutbox(ledger, timing.resendMillis)
     private val orders = HashMap<RightsGroup, ActiveOrder>()
     private val lastGiveByGroup = HashMap<RightsGroup, Long>()
@@ -89,13 +89,10 @@
     ): Unit = demand.ended(poolId, teamId)
 
     /** Takes up a later version of the change log; an earlier one is ignored. */
-    public fun viewChanged(
-        view: RightsView,
-        nowMillis: Long,
-    ): List<RightsAction> {
+    public fun viewChanged(view: RightsView): List<RightsAction> {
         if (view.version <= ledger.view.version) return emptyList()
         ledger.apply(view)
-        proposals.viewChanged(nowMillis)
+        proposals.viewChanged()
         resourcesByGroup = groupResources()
         return listOf(RightsAction.Gained)
     }
@@ -138,12 +135,19 @@
     public fun isEmpty(): Boolean =
         !isMember || (ledger.resources.all { ledger.held(it) == 0 } && ledger.unconfirmedPeers().isEmpty())
 
-    /** Sends what is due; to be called some 20 times a second. [reachable] are the peers that answered lately. */
+    /**
+     * Sends what is due; to be called some 20 times a second.
+     *
+     * @param reachable peers that answered lately.
+     * @param inForceVersion version that every entry that may still act has, or a later one.
+     */
     public fun tick(
         reachable: Set<PeerId>,
+        inForceVersion: Long,
         nowMillis: Long,
     ): List<RightsAction> {
         if (!isMember) return emptyList()
+        proposals.inForce(inForceVersion, nowMillis)
         homes.update(ledger.view.members, reachable).forEach(demand::forget)
         if (stopping) giveAll(reachable)
         val reported = report(nowMillis)
@@ -151,6 +155,13 @@
         return reported + ordered + outbox.due(stopping, nowMillis) + proposals.tick(reachable, nowMillis)
     }
 
+    /**
+     * Returns the core of the incarnation [id], which takes the place of this one in the same process. What
+     * still runs counts as use of its rights, which it has none of yet.
+     */
+    internal fun renewed(id: PeerId): RightsCore =
+        RightsCore(id, timing, RightsLedger(id, ledger.usedCounts()), demand.renewed(), fleetCounts)
+
     private fun receiveRights(
         from: PeerId,
         message: RightsMessage.Transfer,
@@ -277,3 +288,9 @@
         }
     }
 }
+
+/** Creates the decisions about the rights of the incarnation [localId]. */
+public fun rightsCore(
+    localId: PeerId,
+    timing: RightsTiming = RightsTiming(),
+): RightsCore = RightsCore(localId, timing, RightsLedger(localId), LocalDemand(timing), FleetCounts())
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
@@ -22,12 +22,17 @@
  */
 internal class RightsLedger(
     private val localId: PeerId,
+    usedBefore: Map<Resource, Int> = emptyMap(),
 ) {
     private val cells = HashMap<Resource, Cell>()
     private val accounts = HashMap<PeerId, PeerAccount>()
     private var pending: PendingSurrender? = null
     private var joinedVersion: Long? = null
 
+    init {
+        usedBefore.forEach { (resource, count) -> cells[resource] = Cell().apply { used = count } }
+    }
+
     var view = RightsView()
         private set
 
@@ -40,6 +45,8 @@
 
     fun used(resource: Resource): Int = cells[resource]?.used ?: 0
 
+    fun usedCounts(): Map<Resource, Int> = cells.filterValues { it.used > 0 }.mapValues { it.value.used }
+
     /** Rights that a request may take now. */
     fun free(resource: Resource): Int = cells[resource]?.let { maxOf(0, it.usable - it.used) } ?: 0
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
@@ -21,7 +21,7 @@
     private val ledger: RightsLedger,
     private val timing: RightsTiming,
 ) {
-    private val departedAtMillis = HashMap<HolderId, Long>()
+    private val stoppedAtMillis = HashMap<HolderId, Long>()
     private val accounts = HashMap<PeerId, HolderCounts>()
     private var accountsOf = emptySet<HolderId>()
     private var requestedAtMillis = Long.MIN_VALUE / 2
@@ -30,10 +30,9 @@
     private var pausedUntilMillis = Long.MIN_VALUE / 2
 
     /** Handles that the ledger has a new view. */
-    fun viewChanged(nowMillis: Long) {
+    fun viewChanged() {
         val departed = departed()
-        departedAtMillis.keys.retainAll(departed)
-        departed.forEach { departedAtMillis.putIfAbsent(it, nowMillis) }
+        stoppedAtMillis.keys.retainAll(departed)
         if (departed != accountsOf) accounts.clear()
         accountsOf = departed
         neededSinceMillis = null
@@ -65,6 +64,17 @@
         pausedUntilMillis = nowMillis + PROPOSAL_PAUSE_MILLIS
     }
 
+    /** Handles that every entry that may act has [version] or a later one. */
+    fun inForce(
+        version: Long,
+        nowMillis: Long,
+    ) {
+        ledger.view.rights
+            .departed()
+            .filter { holder -> holder.departedVersion?.let { it <= version } ?: false }
+            .forEach { stoppedAtMillis.putIfAbsent(it.id, nowMillis) }
+    }
+
     /** Returns what to send and propose now; [reachable] are the peers that answered lately. */
     fun tick(
         reachable: Set<PeerId>,
@@ -128,13 +138,13 @@
         return (members - accounts.keys).map { RightsAction.Send(it, RightsMessage.AccountRequest(sortedDeparted())) }
     }
 
-    // Nothing that a former member started can be running any more: an endpoint may begin as late as the
-    // entry would have waited for its answer, and then runs for as long again.
+    // Nothing that a former member started can be running any more: it starts nothing once its removal is in
+    // force, an endpoint may begin as late as the entry would have waited for its answer, and then runs for as
+    // long again.
     private fun haveEnded(nowMillis: Long): Boolean =
         ledger.view.rights.departed().all { holder ->
-            val waitMillis =
-                timing.startBoundMillis + RUNS_AFTER_START * holder.longestRunMillis + timing.runMarginMillis
-            nowMillis - departedAtMillis.getValue(holder.id) >= waitMillis
+            val sinceMillis = stoppedAtMillis[holder.id] ?: return false
+            nowMillis - sinceMillis >= RUNS_AFTER_START * holder.longestRunMillis + timing.runMarginMillis
         }
 
     private fun sortedDeparted() = accountsOf.sortedWith(compareBy({ it.id.entryId }, { it.id.incarnation }))
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/RightsEdit.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/RightsEdit.kt
@@ -71,7 +71,7 @@
 }
 
 private fun RightsState.surrender(edit: RightsEdit.Surrender): PartOutcome<RightsState> {
-    val holder = holders.firstOrNull { it.id.id == edit.holder && !it.departed }
+    val holder = holders.firstOrNull { it.id.id == edit.holder && it.departedVersion == null }
     if (holder == null) {
         return PartOutcome.Rejected(listOf("'${edit.holder}' is not a member"))
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/RightsState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/RightsState.kt
@@ -22,14 +22,14 @@
  * @property id incarnation and its stay.
  * @property longestRunMillis longest run of any queue while the incarnation was a member.
  * @property surrenders number of its last surrender.
- * @property departed whether it has been removed from the members; it never counts again in this stay.
+ * @property departedVersion version that removed it from the members, or null; it never counts again in this stay.
  */
 @Serializable
 public data class RightsHolder(
     val id: HolderId,
     val longestRunMillis: Long,
     val surrenders: Long = 0,
-    val departed: Boolean = false,
+    val departedVersion: Long? = null,
 )
 
 /**
@@ -91,13 +91,13 @@
 
     /** Incarnations that may hold rights, with the start of their stay. */
     public fun members(): Map<PeerId, Long> =
-        holders.filter { !it.departed }.associate {
+        holders.filter { it.departedVersion == null }.associate {
             it.id.id to
                 it.id.joinedVersion
         }
 
     /** Former members whose rights are not recovered yet. */
-    public fun departed(): List<RightsHolder> = holders.filter { it.departed }
+    public fun departed(): List<RightsHolder> = holders.filter { it.departedVersion != null }
 
     /** Takes up the members of [version], and the longest run while they are members. */
     internal fun following(
@@ -109,8 +109,8 @@
         val followed =
             holders.map { holder ->
                 when {
-                    holder.departed -> holder
-                    holder.id.id !in members -> holder.copy(departed = true)
+                    holder.departedVersion != null -> holder
+                    holder.id.id !in members -> holder.copy(departedVersion = version)
                     else -> holder.copy(longestRunMillis = maxOf(holder.longestRunMillis, longestRunMillis))
                 }
             } + members.filter { it !in known }.map { RightsHolder(HolderId(it, version), longestRunMillis) }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/EscrowRightsModel.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/EscrowRightsModel.kt
@@ -19,10 +19,10 @@
     private val team = Resource.Team("large")
     private val rights =
         EscrowRights(
-            core = RightsCore(localId),
             network = NoPeers(localId),
             proposer = { ProposalOutcome.REFUSED },
             freshness = { true },
+            inForce = { 0 },
             clock = StoppedClock,
             unlimited = emptySet(),
         )
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzNode.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzNode.kt
@@ -5,18 +5,21 @@
 /** One incarnation in a schedule. */
 internal class FuzzNode(
     val id: PeerId,
-    timing: RightsTiming,
+    val core: RightsCore,
     private val clockRate: Double,
     private val startedAtMillis: Long,
 ) {
-    val core = RightsCore(id, timing)
     val jobs = mutableListOf<FuzzJob>()
     var crashed = false
+
+    /** Incarnation that took the place of this one in the same process. */
+    var successor: FuzzNode? = null
     var pausedUntilMillis = 0L
     var cutOffUntilMillis = 0L
 
     /** Until when the freshness rule lets this incarnation start work; only a removal bounds it. */
     var mayStartUntilMillis = Long.MAX_VALUE
+    var removedVersion = Long.MAX_VALUE
     private var nowMillis = startedAtMillis
 
     fun at(nowMillis: Long): FuzzNode = apply { this.nowMillis = nowMillis }
@@ -25,7 +28,12 @@
 
     fun isFresh(): Boolean = !crashed && nowMillis <= mayStartUntilMillis
 
-    fun isAwake(): Boolean = !crashed && nowMillis >= pausedUntilMillis
+    fun isAwake(): Boolean = !isGone() && nowMillis >= pausedUntilMillis
+
+    fun isGone(): Boolean = crashed || successor != null
+
+    /** Incarnation that lives in the same process now. */
+    fun latest(): FuzzNode = successor?.latest() ?: this
 
     fun running(resource: Resource): Int = jobs.count { it.team == resource || it.slot == resource }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzWorld.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzWorld.kt
@@ -10,7 +10,7 @@
 internal const val FUZZ_LONGEST_RUN_MILLIS = 500L
 private const val TICK_MILLIS = 100L
 private const val POOL = "bids"
-private const val START_BOUND_MILLIS = 800L
+private const val LONGEST_UNAWARE_MILLIS = 2_000L
 
 /**
  * A fleet of real cores in virtual time under a schedule that follows from [seed]: loss, delay, reordering,
@@ -24,7 +24,6 @@
     private val random = Random(seed)
     private val timing =
         RightsTiming(
-            startBoundMillis = START_BOUND_MILLIS,
             runMarginMillis = 300,
             takeOverMillis = 500,
         )
@@ -66,9 +65,12 @@
         at(random.nextLong(100)) { disturb() }
     }
 
-    private fun addNode(): FuzzNode {
-        val id = PeerId("entry-${random.nextInt(9)}", ++incarnations)
-        val node = FuzzNode(id, timing, 0.99 + random.nextDouble() * 0.02, nowMillis)
+    private fun addNode(
+        entryId: String = "entry-${random.nextInt(9)}",
+        create: (PeerId) -> RightsCore = { rightsCore(it, timing) },
+    ): FuzzNode {
+        val id = PeerId(entryId, ++incarnations)
+        val node = FuzzNode(id, create(id), 0.99 + random.nextDouble() * 0.02, nowMillis)
         nodes[id] = node
         at(nowMillis + random.nextLong(TICK_MILLIS)) { tick(node) }
         at(nowMillis + random.nextLong(TICK_MILLIS)) { poll(node) }
@@ -76,11 +78,11 @@
     }
 
     private fun tick(node: FuzzNode) {
-        if (node.crashed) return
+        if (node.isGone()) return
         at(nowMillis + TICK_MILLIS) { tick(node) }
         if (!node.isAwake()) return
         report(node)
-        perform(node, node.core.tick(reachable(node), node.at(nowMillis).clockMillis()))
+        perform(node, node.core.tick(reachable(node), inForceVersion(), node.at(nowMillis).clockMillis()))
         startJobs(node)
     }
 
@@ -114,20 +116,20 @@
         job: FuzzJob,
     ) {
         if (node.jobs.remove(job)) say { "request of ${node.id} on ${job.slot} ends" }
-        if (node.crashed) return
-        node.at(nowMillis)
-        node.core.ended(POOL, (job.team as Resource.Team).teamId)
-        perform(node, node.core.release(job.team, node.clockMillis()))
-        perform(node, node.core.release(job.slot, node.clockMillis()))
+        val owner = node.latest().at(nowMillis)
+        if (owner.crashed) return
+        owner.core.ended(POOL, (job.team as Resource.Team).teamId)
+        perform(owner, owner.core.release(job.team, owner.clockMillis()))
+        perform(owner, owner.core.release(job.slot, owner.clockMillis()))
     }
 
     private fun poll(node: FuzzNode) {
-        if (node.crashed) return
+        if (node.isGone()) return
         at(nowMillis + random.nextLong(50, 400)) { poll(node) }
         if (!node.isAwake() || isStoreDown() || isCutOff(node)) return
         val stale = if (calm) 0 else random.nextLong(0, 3)
         val version = maxOf(0, log.head.version - stale)
-        perform(node, node.core.viewChanged(log.viewAt(version), node.at(nowMillis).clockMillis()))
+        perform(node, node.core.viewChanged(log.viewAt(version)))
     }
 
     private fun perform(
@@ -158,7 +160,7 @@
         message: RightsMessage,
     ) {
         val node = receiver(to)
-        if (node.crashed || isCutOff(node)) return
+        if (node.isGone() || isCutOff(node)) return
         if (!node.isAwake()) {
             at(node.pausedUntilMillis) { deliver(from, to, message) }
             return
@@ -198,20 +200,20 @@
         node: FuzzNode,
         outcome: ProposalOutcome,
     ) {
-        if (!node.crashed) perform(node, node.core.proposed(outcome, node.at(nowMillis).clockMillis()))
+        if (!node.isGone()) perform(node, node.core.proposed(outcome, node.at(nowMillis).clockMillis()))
     }
 
     private fun disturb() {
         if (calm) return
         at(nowMillis + random.nextLong(20, 400)) { disturb() }
-        val node = nodes.values.filter { !it.crashed }.randomOrNull(random) ?: return
+        val node = nodes.values.filter { !it.isGone() }.randomOrNull(random) ?: return
         when (random.nextInt(12)) {
             0 -> crash(node)
             1, 2 -> node.pausedUntilMillis = nowMillis + random.nextLong(3_000)
             3 -> node.cutOffUntilMillis = nowMillis + random.nextLong(3_000)
             4 -> storeDownUntilMillis = nowMillis + random.nextLong(2_000)
             5, 6 -> remove(node.id)
-            7 -> if (random.nextBoolean()) join() else rejoin(node)
+            7 -> listOf(::join, { rejoin(node) }, { renew(node) }).random(random)()
             8 -> node.core.stop()
             9 -> changeLimit(slots.random(random), random.nextInt(0, 6))
             else -> changeLimit(teams.random(random), random.nextInt(0, 12))
@@ -229,7 +231,9 @@
     private fun remove(id: PeerId) {
         if (isStoreDown() || id !in log.members) return
         log.setMembers(log.members - id)
-        nodes.getValue(id).mayStartUntilMillis = nowMillis + START_BOUND_MILLIS
+        val removed = nodes.getValue(id)
+        removed.mayStartUntilMillis = nowMillis + random.nextLong(LONGEST_UNAWARE_MILLIS)
+        removed.removedVersion = log.head.version
         say { "$id is removed with version ${log.head.version}" }
     }
 
@@ -244,9 +248,19 @@
         if (isStoreDown() || node.id in log.members || node.core.isMember) return
         log.setMembers(log.members + node.id)
         node.mayStartUntilMillis = Long.MAX_VALUE
+        node.removedVersion = Long.MAX_VALUE
         say { "${node.id} joins again with version ${log.head.version}" }
     }
 
+    // The process goes on under a new incarnation, with the requests of the old one still running.
+    private fun renew(node: FuzzNode) {
+        if (isStoreDown() || node.id in log.members || node.core.isMember) return
+        val next = addNode(node.id.entryId) { node.core.renewed(it) }
+        node.successor = next
+        log.setMembers(log.members + next.id)
+        say { "${node.id} goes on as ${next.id} with version ${log.head.version}" }
+    }
+
     private fun changeLimit(
         resource: Resource,
         limit: Int,
@@ -290,7 +304,13 @@
     }
 
     private fun reachable(node: FuzzNode) =
-        nodes.values.filter { !it.crashed && !isCutOff(it) && it !== node }.mapTo(HashSet()) { it.id }
+        nodes.values.filter { !it.isGone() && !isCutOff(it) && it !== node }.mapTo(HashSet()) { it.id }
+
+    // A removal is in force once the removed incarnation may not start anything any more.
+    private fun inForceVersion(): Long {
+        val unaware = nodes.values.filter { it.removedVersion < Long.MAX_VALUE && it.isFresh() }
+        return minOf(log.head.version, (unaware.minOfOrNull { it.removedVersion } ?: Long.MAX_VALUE) - 1)
+    }
 
     private fun isStoreDown() = nowMillis < storeDownUntilMillis
 
