--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
@@ -54,7 +54,7 @@
         teamId: String,
     ): Long = fleetCounts.startedElsewhere(poolId, teamId)
 
-    /** Gives one right of [resource] back; with an order for it, it is a peer's from now on and leaves with the next tick. */
+    /** Gives one right of [resource] back; one that an order gives to a peer leaves with the next tick. */
     public fun release(
         resource: Resource,
         nowMillis: Long,
@@ -151,7 +151,7 @@
         homes.update(ledger.view.members, reachable).forEach(demand::forget)
         if (stopping) giveAll(reachable)
         val reported = report(nowMillis)
-        val ordered = order(nowMillis)
+        val ordered = order(reachable, nowMillis)
         return reported + ordered + outbox.due(stopping, nowMillis) + proposals.tick(reachable, nowMillis)
     }
 
@@ -185,11 +185,16 @@
         }
     }
 
-    private fun order(nowMillis: Long): List<RightsAction> =
-        home.orders(ledger.view.members, ledger.view.weightByTeam, nowMillis).flatMap { (to, groups) ->
+    private fun order(
+        reachable: Set<PeerId>,
+        nowMillis: Long,
+    ): List<RightsAction> {
+        val view = ledger.view
+        return home.orders(view.members, reachable + localId, view.weightByTeam, nowMillis).flatMap { (to, groups) ->
             val message = RightsMessage.Order(groups)
             if (to == localId) follow(localId, message, nowMillis) else listOf(RightsAction.Send(to, message))
         }
+    }
 
     private fun follow(
         from: PeerId,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsHome.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsHome.kt
@@ -38,9 +38,13 @@
         }
     }
 
-    /** Evaluates groups with new reports and returns the orders for each entry. */
+    /**
+     * Evaluates groups with new reports and returns the orders for each entry. Of the [members] only those in
+     * [reachable] get more rights; one that has not reported holds and needs nothing.
+     */
     fun orders(
         members: Set<PeerId>,
+        reachable: Set<PeerId>,
         weightByTeam: Map<String, Int>,
         nowMillis: Long,
     ): Map<PeerId, List<GroupOrder>> {
@@ -51,7 +55,7 @@
             state.evaluatedAtMillis = nowMillis
             state.reports.values.removeIf { nowMillis - it.atMillis > REPORT_LIFE_MILLIS }
             state.reports.keys.retainAll(members)
-            state.evaluate(group, weightByTeam, nowMillis).forEach { (id, order) ->
+            state.evaluate(group, members.filter { it in reachable }, weightByTeam, nowMillis).forEach { (id, order) ->
                 orders.getOrPut(id) { mutableListOf() } += order
             }
         }
@@ -74,10 +78,14 @@
 
         fun evaluate(
             group: RightsGroup,
+            open: List<PeerId>,
             weightByTeam: Map<String, Int>,
             nowMillis: Long,
         ): Map<PeerId, GroupOrder> {
-            val entries = reports.map { (id, it) -> EntryDemand(id, it.group.held, it.stopping, it.group.teams) }
+            val entries =
+                reports.map { (id, it) ->
+                    EntryDemand(id, it.group.held, it.stopping || id !in open, it.group.teams)
+                } + open.filter { it !in reports }.map { EntryDemand(it, held = 0, stopping = false, emptyList()) }
             val targets = rightsTargets(entries, weightByTeam)
             val gives = matchGives(entries, targets)
             val tellElsewhere = group is RightsGroup.Pool && nowMillis - elsewhereAtMillis >= ELSEWHERE_MILLIS
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsTargets.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsTargets.kt
@@ -10,7 +10,7 @@
  * What one entry holds and needs of a group.
  *
  * @property held rights held.
- * @property stopping whether the entry takes no more rights.
+ * @property stopping whether the entry must not get more rights.
  * @property teams demand of the teams.
  */
 internal data class EntryDemand(
