--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -12,6 +12,7 @@
 import org.verbenagauge.entry.admission.admissionMetrics
 import org.verbenagauge.entry.caller.CallerLimits
 import org.verbenagauge.entry.admission.OPEN_TEAM_ID
+import org.verbenagauge.entry.caller.CallerLimits
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
@@ -173,6 +174,9 @@
         ) {
             delay(STOP_POLL_MILLIS)
         }
+        val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
+        while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
+        rights.handOver(clock)
         state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         account.close(maxOf(stopByMillis, clock.monotonicMillis() + MIN_ACCOUNT_CLOSE_MILLIS))
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EntryRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EntryRights.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.rights
 
+import kotlinx.coroutines.delay
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.settings.IdentitySettings
@@ -7,6 +8,9 @@
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.limits
 
+private const val HAND_OVER_MILLIS = 3_000L
+private const val HAND_OVER_POLL_MILLIS = 20L
+
 /** Rights of one entry, as its parts use them. */
 internal class EntryRights(
     private val escrow: EscrowRights?,
@@ -21,13 +25,13 @@
         escrow?.update(rightsView(view.control))
     }
 
-    /** Hands all rights over to peers from now on, as they become free. */
-    fun stop() {
-        escrow?.stop()
+    /** Hands all rights over to peers; returns when they have confirmed them, or after some seconds. */
+    suspend fun handOver(clock: Clock) {
+        val moving = escrow ?: return
+        moving.stop()
+        val endMillis = clock.monotonicMillis() + HAND_OVER_MILLIS
+        while (!moving.isEmpty() && clock.monotonicMillis() < endMillis) delay(HAND_OVER_POLL_MILLIS)
     }
-
-    /** Whether all rights have been handed over. */
-    fun isEmpty(): Boolean = escrow?.isEmpty() ?: true
 }
 
 /**
