--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -9,13 +9,13 @@
 import org.verbenagauge.entry.account.register
 import org.verbenagauge.entry.admission.AdmissionTicker
 import org.verbenagauge.entry.admission.JobService
-import org.verbenagauge.entry.admission.admissionMetrics
-import org.verbenagauge.entry.caller.CallerLimits
 import org.verbenagauge.entry.admission.OPEN_TEAM_ID
+import org.verbenagauge.entry.admission.admissionMetrics
 import org.verbenagauge.entry.caller.CallerLimits
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
+import org.verbenagauge.entry.idempotency.entryClaims
 import org.verbenagauge.entry.listener.ListenerAddress
 import org.verbenagauge.entry.listener.TlsIdentity
 import org.verbenagauge.entry.listener.TlsOutcome
@@ -31,6 +31,7 @@
 import org.verbenagauge.entry.placement.placementLog
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.entryRights
+import org.verbenagauge.entry.rights.fixedSplit
 import org.verbenagauge.entry.settings.EntrySettings
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InForceLog
@@ -66,7 +67,9 @@
     private val state = entryState(settings, platform, clock, log, ::publish)
 
     private val account = entryAccount(settings.entry, state, clock, log)
+
     private val rights = entryRights(settings.entry, state, clock, log, Resource.Team(OPEN_TEAM_ID))
+    private val claims = entryClaims(state.platform.table, clock, log)
 
     private val jobs =
         JobService(
@@ -80,6 +83,8 @@
                     ),
                 ),
             rights = rights.rights,
+            fleetService = rights.fleetService,
+            claims = claims.claims,
             freshness = state.service,
             observer = ::answered,
             maxJobs = settings.limits.maxJobs,
@@ -130,6 +135,7 @@
         supervisor.start(account)
         supervisor.start(inForceLog)
         rights.child?.let(supervisor::start)
+        supervisor.start(claims.child)
         supervisor.start(AdmissionTicker(jobs))
         log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
     }
@@ -167,16 +173,8 @@
         val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
         jobs.stopAccepting(stopByMillis)
         while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
-        jobs.stopAccepting()
-        rights.stop()
-        while ((jobs.heldCount > 0 || !rights.isEmpty()) &&
-            clock.monotonicMillis() < stopByMillis
-        ) {
-            delay(STOP_POLL_MILLIS)
-        }
-        val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
-        while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
         rights.handOver(clock)
+        claims.close(clock)
         state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         account.close(maxOf(stopByMillis, clock.monotonicMillis() + MIN_ACCOUNT_CLOSE_MILLIS))
@@ -208,29 +206,6 @@
 
     private fun connectionsPerEndpoint(): Int =
         maxOf(1, fixedSplit(CONNECTIONS_PER_ENDPOINT, settings.entry.index, settings.entry.count))
-
-    private fun partOf(resource: Resource): Int {
-        val limit = limitOf(resource, state.changes.state.value)
-        val index = (settings.entry.index + resource.hashCode()).mod(settings.entry.count)
-        return fixedSplit(limit, index, settings.entry.count)
-    }
-
-    private fun limitOf(
-        resource: Resource,
-        state: ControlState,
-    ): Int =
-        when (resource) {
-            is Resource.Team ->
-                state.configuration.teams
-                    .firstOrNull { it.id == resource.teamId }
-                    ?.maxRunning ?: Int.MAX_VALUE
-            is Resource.Slot -> {
-                val poolId = state.fleet.poolIdByInstance[resource.instanceId]
-                state.configuration.pools
-                    .firstOrNull { it.id == poolId }
-                    ?.slotsPerWorker ?: 0
-            }
-        }
 }
 
 /** Creates an entry instance whose platform is reached over HTTP. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -238,6 +238,7 @@
         state.chargedMillis = expectedMillis
         runningStates += state
         runningByTeam.merge(state.request.team.id, 1, Int::plus)
+        rights.reportStarted(poolId, state.request.team.id)
     }
 
     private fun leaveEndpoint(
@@ -249,6 +250,7 @@
         val teamId = state.request.team.id
         val instanceId = placement.address.instanceId
         runningStates -= state
+        rights.reportEnded(poolId, teamId)
         if (runningByTeam.merge(teamId, -1, Int::plus) == 0) runningByTeam.remove(teamId)
         state.placement = null
         if (end.reason.verdict == Verdict.MAY_HAVE_RUN) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
@@ -11,6 +11,9 @@
 import org.verbenagauge.entry.Verdict
 import org.verbenagauge.entry.account.JobObserver
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.idempotency.Claim
+import org.verbenagauge.entry.idempotency.ClaimOutcome
+import org.verbenagauge.entry.idempotency.JobClaims
 import org.verbenagauge.entry.placement.EndpointClient
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.placement.PlacementNotice
@@ -36,6 +39,7 @@
  * @param maxJobs requests that the entry holds at once.
  * @param maxQueuedPerPool requests that wait at once for one pool.
  * @param fleetService requests that other entries have started.
+ * @param claims lets at most one request with the same idempotency key run, or null to run all of them.
  * @param notify receives what operators should see of the endpoints.
  */
 public class JobService(
@@ -47,6 +51,7 @@
     private val maxJobs: Int,
     private val maxQueuedPerPool: Int,
     private val fleetService: FleetService = noFleetService,
+    private val claims: JobClaims? = null,
     private val notify: (PlacementNotice) -> Unit = {},
 ) : JobHandler {
     private val ids = AtomicLong()
@@ -130,10 +135,43 @@
             is Check.Failed -> check.answer
             is Check.Passed -> {
                 progress.teamId = check.team.id
-                run(job, check, progress)
+                runOnce(job, check, progress)
             }
         }
 
+    private suspend fun runOnce(
+        job: Job,
+        check: Check.Passed,
+        progress: JobProgress,
+    ): JobAnswer {
+        val idempotencyKey = job.idempotencyKey
+        if (claims == null || idempotencyKey == null || check.queue.idempotent) return run(job, check, progress)
+        return when (val outcome = claims.claim(job, check.team.id, idempotencyKey)) {
+            is ClaimOutcome.Answered -> outcome.answer
+            is ClaimOutcome.Granted -> runClaimed(job, check, progress, claims, outcome.claim)
+        }
+    }
+
+    // Unless it is known that the request did not run, the claim stays.
+    private suspend fun runClaimed(
+        job: Job,
+        check: Check.Passed,
+        progress: JobProgress,
+        claims: JobClaims,
+        claim: Claim,
+    ): JobAnswer {
+        var answer = JobAnswer(Reason.INTERNAL_ERROR)
+        try {
+            answer = run(job, check, progress)
+            return answer
+        } catch (e: CancellationException) {
+            answer = JobAnswer(progress.recordOfCancelled(job).reason)
+            throw e
+        } finally {
+            claims.settle(claim, answer)
+        }
+    }
+
     // Checked again at the start: a key that was withdrawn meanwhile starts nothing.
     private fun check(job: Job): Check {
         if (!freshness.isFresh()) return Check.Failed(refusal(Reason.ENTRY_STALE))
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/EntryClaims.kt
@@ -0,0 +1,35 @@
+package org.verbenagauge.entry.idempotency
+
+import kotlinx.coroutines.delay
+import org.verbenagauge.entry.Child
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.state.TableService
+
+private const val CLOSE_MILLIS = 3_000L
+private const val CLOSE_POLL_MILLIS = 20L
+
+/** Claims on jobs with idempotency keys, as the parts of one entry use them. */
+internal class EntryClaims(
+    val claims: JobClaims,
+    private val settlements: ClaimSettlements,
+) {
+    /** Part to run below a supervisor. */
+    val child: Child get() = settlements
+
+    /** Waits until the ends of all claims are written, or for some seconds. */
+    suspend fun close(clock: Clock) {
+        val endMillis = clock.monotonicMillis() + CLOSE_MILLIS
+        while (settlements.pendingCount > 0 && clock.monotonicMillis() < endMillis) delay(CLOSE_POLL_MILLIS)
+    }
+}
+
+/** Creates the claims of one entry in [table]. */
+internal fun entryClaims(
+    table: TableService,
+    clock: Clock,
+    log: EventLog,
+): EntryClaims {
+    val settlements = ClaimSettlements(table, log)
+    return EntryClaims(TableClaims(table, clock, settlements), settlements)
+}
