--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
@@ -12,16 +12,16 @@
  * time and does what the actions say. Only [RightsLedger] and the edits keep the limits; all else decides
  * where rights are useful.
  */
-public class RightsCore(
-    private val localId: PeerId,
-    timing: RightsTiming = RightsTiming(),
+public class RightsCore internal constructor(
+    internal val localId: PeerId,
+    private val timing: RightsTiming,
+    private val ledger: RightsLedger,
+    private val demand: LocalDemand,
+    private val fleetCounts: FleetCounts,
 ) {
-    private val ledger = RightsLedger(localId)
     private val proposals = RightsProposals(localId, ledger, timing)
-    private val demand = LocalDemand(timing)
     private val home = RightsHome(timing)
     private val homes = HomeTable(localId)
-    private val fleetCounts = FleetCounts()
     private val outbox = TransferOutbox(ledger, timing.resendMillis)
     private val orders = HashMap<RightsGroup, ActiveOrder>()
     private val lastGiveByGroup = HashMap<RightsGroup, Long>()
@@ -54,7 +54,7 @@
         teamId: String,
     ): Long = fleetCounts.startedElsewhere(poolId, teamId)
 
-    /** Gives one right of [resource] back; it may move on to a peer at once. */
+    /** Gives one right of [resource] back; one that an order gives to a peer leaves with the next tick. */
     public fun release(
         resource: Resource,
         nowMillis: Long,
@@ -63,7 +63,7 @@
         val group = ledger.view.groupOf(resource) ?: return emptyList()
         if (group !in orders && !stopping) return emptyList()
         giveAsOrdered(group, nowMillis)
-        return outbox.due(stopping, nowMillis)
+        return emptyList()
     }
 
     /** Handles that [waiting] requests of [teamId] wait for [poolId]. */
@@ -77,7 +77,10 @@
     public fun started(
         poolId: String,
         teamId: String,
-    ): Unit = demand.started(poolId, teamId)
+    ) {
+        demand.started(poolId, teamId)
+        fleetCounts.started(poolId, teamId)
+    }
 
     /** Handles the end of a request of [teamId] in [poolId]. */
     public fun ended(
@@ -86,13 +89,10 @@
     ): Unit = demand.ended(poolId, teamId)
 
     /** Takes up a later version of the change log; an earlier one is ignored. */
-    public fun viewChanged(
-        view: RightsView,
-        nowMillis: Long,
-    ): List<RightsAction> {
+    public fun viewChanged(view: RightsView): List<RightsAction> {
         if (view.version <= ledger.view.version) return emptyList()
         ledger.apply(view)
-        proposals.viewChanged(nowMillis)
+        proposals.viewChanged()
         resourcesByGroup = groupResources()
         return listOf(RightsAction.Gained)
     }
@@ -135,26 +135,41 @@
     public fun isEmpty(): Boolean =
         !isMember || (ledger.resources.all { ledger.held(it) == 0 } && ledger.unconfirmedPeers().isEmpty())
 
-    /** Sends what is due; to be called some 20 times a second. [reachable] are the peers that answered lately. */
+    /**
+     * Sends what is due; to be called some 20 times a second.
+     *
+     * @param reachable peers that answered lately.
+     * @param inForceVersion version that every entry that may still act has, or a later one.
+     */
     public fun tick(
         reachable: Set<PeerId>,
+        inForceVersion: Long,
         nowMillis: Long,
     ): List<RightsAction> {
         if (!isMember) return emptyList()
+        proposals.inForce(inForceVersion, nowMillis)
         homes.update(ledger.view.members, reachable).forEach(demand::forget)
         if (stopping) giveAll(reachable)
         val reported = report(nowMillis)
-        val ordered = order(nowMillis)
+        val ordered = order(reachable, nowMillis)
         return reported + ordered + outbox.due(stopping, nowMillis) + proposals.tick(reachable, nowMillis)
     }
 
+    /**
+     * Returns the core of the incarnation [id], which takes the place of this one in the same process. What
+     * still runs counts as use of its rights, which it has none of yet.
+     */
+    internal fun renewed(id: PeerId): RightsCore =
+        RightsCore(id, timing, RightsLedger(id, ledger.usedCounts()), demand.renewed(), fleetCounts)
+
     private fun receiveRights(
         from: PeerId,
         message: RightsMessage.Transfer,
     ): List<RightsAction> {
-        val receipt = ledger.receive(from, message) ?: return emptyList()
+        val totals = ledger.receive(from, message) ?: return emptyList()
+        outbox.received(from, totals)
         if (message.stopping) stoppingPeers += from
-        return listOf(RightsAction.Send(from, receipt), RightsAction.Gained)
+        return listOf(RightsAction.Gained)
     }
 
     private fun report(nowMillis: Long): List<RightsAction> {
@@ -170,11 +185,16 @@
         }
     }
 
-    private fun order(nowMillis: Long): List<RightsAction> =
-        home.orders(ledger.view.members, ledger.view.weightByTeam, nowMillis).flatMap { (to, groups) ->
+    private fun order(
+        reachable: Set<PeerId>,
+        nowMillis: Long,
+    ): List<RightsAction> {
+        val view = ledger.view
+        return home.orders(view.members, reachable + localId, view.weightByTeam, nowMillis).flatMap { (to, groups) ->
             val message = RightsMessage.Order(groups)
             if (to == localId) follow(localId, message, nowMillis) else listOf(RightsAction.Send(to, message))
         }
+    }
 
     private fun follow(
         from: PeerId,
@@ -273,3 +293,9 @@
         }
     }
 }
+
+/** Creates the decisions about the rights of the incarnation [localId]. */
+public fun rightsCore(
+    localId: PeerId,
+    timing: RightsTiming = RightsTiming(),
+): RightsCore = RightsCore(localId, timing, RightsLedger(localId), LocalDemand(timing), FleetCounts())
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
@@ -22,12 +22,17 @@
  */
 internal class RightsLedger(
     private val localId: PeerId,
+    usedBefore: Map<Resource, Int> = emptyMap(),
 ) {
     private val cells = HashMap<Resource, Cell>()
     private val accounts = HashMap<PeerId, PeerAccount>()
     private var pending: PendingSurrender? = null
     private var joinedVersion: Long? = null
 
+    init {
+        usedBefore.forEach { (resource, count) -> cells[resource] = Cell().apply { used = count } }
+    }
+
     var view = RightsView()
         private set
 
@@ -40,6 +45,8 @@
 
     fun used(resource: Resource): Int = cells[resource]?.used ?: 0
 
+    fun usedCounts(): Map<Resource, Int> = cells.filterValues { it.used > 0 }.mapValues { it.value.used }
+
     /** Rights that a request may take now. */
     fun free(resource: Resource): Int = cells[resource]?.let { maxOf(0, it.usable - it.used) } ?: 0
 
@@ -96,19 +103,18 @@
     /** Whether more rights of [resource] are granted than its limit allows. */
     fun isInExcess(resource: Resource): Boolean = view.rights.granted(resource) > view.limit(resource)
 
-    /** Adds the rights of [transfer] and returns the receipt, or null when the message does not count here. */
+    /** Adds the rights of [transfer] and returns what to confirm, or null when the message does not count here. */
     fun receive(
         from: PeerId,
         transfer: RightsMessage.Transfer,
-    ): RightsMessage.Receipt? {
+    ): List<ResourceTotal>? {
         if (from !in view.members || transfer.stays != staysFrom(from)) return null
         val received = account(from).received
         transfer.totals.forEach { (resource, total) ->
             received.merge(resource, total, ::maxOf)
             recompute(resource)
         }
-        val totals = transfer.totals.map { ResourceTotal(it.resource, received.getValue(it.resource)) }
-        return RightsMessage.Receipt(staysTo(from), totals)
+        return transfer.totals.map { ResourceTotal(it.resource, received.getValue(it.resource)) }
     }
 
     fun confirm(
