--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -36,6 +36,7 @@
 import org.verbenagauge.entry.rights.entryRights
 import org.verbenagauge.entry.rights.fixedSplit
 import org.verbenagauge.entry.settings.EntrySettings
+import org.verbenagauge.entry.state.ControlState
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.Platform
