--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/EntryAccount.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/EntryAccount.kt
@@ -10,8 +10,27 @@
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.settings.IdentitySettings
 import org.verbenagauge.entry.state.EntryState
+import org.verbenagauge.entry.state.ObjectStore
 import kotlin.random.Random
 
+/**
+ * Creates the account of the entry instance that [network] names; its segments go to [objects].
+ *
+ * @param zoneId availability zone of the entry instance.
+ * @param zoneOf availability zone of a peer, or null when it is not known.
+ */
+public fun accountWriter(
+    objects: ObjectStore,
+    network: PeerNetwork,
+    zoneId: String,
+    zoneOf: (PeerId) -> String?,
+    clock: Clock,
+    log: EventLog,
+): AccountWriter = AccountWriter(objects, network, zoneId, zoneOf, clock, log)
+
+/** Returns the network of an entry instance without peers. */
+public fun noPeers(entryId: String): PeerNetwork = NoPeers(PeerId(entryId, Random.nextLong()))
+
 /** Creates the account of the entry instance [identity] over [state]. */
 internal fun entryAccount(
     identity: IdentitySettings,
@@ -19,9 +38,9 @@
     clock: Clock,
     log: EventLog,
 ): AccountWriter =
-    AccountWriter(
+    accountWriter(
         objects = state.platform.objects,
-        network = state.network ?: NoPeers(PeerId(identity.id, Random.nextLong())),
+        network = state.network ?: noPeers(identity.id),
         zoneId = identity.zoneId,
         zoneOf = { peer ->
             state.changes.state.value.membership
