--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -22,6 +22,7 @@
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.operator.AdministrationParts
+import org.verbenagauge.entry.operator.ChangeReporter
 import org.verbenagauge.entry.operator.Health
 import org.verbenagauge.entry.operator.administrationRoutes
 import org.verbenagauge.entry.operator.operatorListener
@@ -123,6 +124,7 @@
                     account::status,
                     ::fleetStatus,
                     clock,
+                    ChangeReporter(log, registry),
                 ),
                 settings.administration,
                 overTls = operatorTls != null,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/Administration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/Administration.kt
@@ -52,6 +52,7 @@
     private val inForceLog: InForceLog,
     private val freshness: Freshness,
     private val bootstrapKeySha256: String?,
+    private val reporter: ChangeReporter? = null,
 ) {
     /** State that this entry knows. */
     public val state: ControlState get() = changes.state.value
@@ -70,7 +71,10 @@
     }
 
     /** Stores the change of [request], or says why not. */
-    public suspend fun change(request: ChangeRequest): AdminOutcome {
+    public suspend fun change(request: ChangeRequest): AdminOutcome =
+        decide(request).also { reporter?.report(request, it) }
+
+    private suspend fun decide(request: ChangeRequest): AdminOutcome {
         repeat(MAX_ATTEMPTS) {
             val base =
                 when (val newest = newest()) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
@@ -28,6 +28,7 @@
  * @property accountStatus what the account of this entry holds.
  * @property statusSource state of the fleet.
  * @property clock clock.
+ * @property reporter logs and counts changes.
  */
 public class AdministrationParts(
     public val changes: ChangeLog,
@@ -37,6 +38,7 @@
     public val accountStatus: () -> AccountStatus,
     public val statusSource: StatusSource,
     public val clock: Clock,
+    public val reporter: ChangeReporter,
 )
 
 /**
@@ -53,7 +55,14 @@
     val bootstrapKeySha256 = settings.bootstrapKeySha256.ifEmpty { null }
     val auditTrail = AuditTrail(parts.table)
     val administration =
-        Administration(parts.changes, auditTrail, parts.inForceLog, parts.freshness, bootstrapKeySha256)
+        Administration(
+            parts.changes,
+            auditTrail,
+            parts.inForceLog,
+            parts.freshness,
+            bootstrapKeySha256,
+            parts.reporter,
+        )
     val api = AdminApi(administration, keyMint, parts.accountStatus, parts.statusSource)
     val console =
         settings.sessionSecret
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
@@ -17,7 +17,9 @@
 import io.ktor.http.HttpMethod
 import io.ktor.server.testing.ApplicationTestBuilder
 import io.ktor.server.testing.testApplication
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.verbenagauge.entry.account.AccountStatus
+import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.settings.AdministrationSettings
 import org.verbenagauge.entry.state.ChangeLog
 import org.verbenagauge.entry.state.FleetView
@@ -49,6 +51,7 @@
                     statusView("entry-0", FleetView(log.state.value, emptyList()), log.state.value.version, emptyMap())
                 },
                 clock = clock,
+                reporter = ChangeReporter(EventLog("entry-0"), PrometheusRegistry()),
             ),
             AdministrationSettings(sha256Hex("boot"), "0123456789abcdef0123456789abcdef"),
             keyMint = { "drawn-${drawn++}" },
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
@@ -14,6 +14,7 @@
 import org.verbenagauge.entry.state.OperatorAccount
 import org.verbenagauge.entry.state.OperatorRight
 import org.verbenagauge.entry.state.Pool
+import org.verbenagauge.entry.state.Queue
 import org.verbenagauge.entry.state.ReadOutcome
 import org.verbenagauge.entry.state.Team
 import org.verbenagauge.entry.state.TeamKey
@@ -102,6 +103,13 @@
     }
 }
 
+private fun randomDocument(random: Random): Configuration =
+    Configuration(
+        pools = List(random.nextInt(3)) { Pool("p${random.nextInt(5)}", "s", slotsPerWorker = random.nextInt(0, 20)) },
+        teams = List(random.nextInt(3)) { Team("t${random.nextInt(9)}", maxRunning = random.nextInt(-1, 9)) },
+        queues = List(random.nextInt(3)) { Queue("q${random.nextInt(5)}", "p${random.nextInt(5)}") },
+    )
+
 class AdministrationRaceTest :
     FunSpec({
         test("given operators who race with lost answers, when each change is settled, then none is lost or doubled") {
@@ -136,6 +144,32 @@
             (accepted > SEEDS && conflicts > SEEDS) shouldBe true
         }
 
+        test("given a change that passes the check, when it is made on the same version, then it is in force") {
+            var passed = 0
+            repeat(SEEDS) { seed ->
+                val random = Random(seed)
+                val table = ScriptedTable()
+                val log = changeLog(table, FakeClock(), pause = {})
+                val inForce = InForceLog(table, { 0L }, "entry", FakeClock())
+                val administration = Administration(log, AuditTrail(table), inForce, { true }, sha256Hex("boot"))
+                val operator = administration.operators().single()
+                repeat(STEPS) { step ->
+                    val edit = ConfigurationEdit.Replace(randomDocument(random))
+                    val request = ChangeRequest(operator, log.state.value.configurationVersion, "$step", edit)
+                    val preview = administration.preview(request)
+                    val outcome = administration.change(request)
+                    val reader = changeLog(table, FakeClock(), pause = {})
+                    withClue("seed $seed, step $step: $preview") {
+                        (outcome is AdminOutcome.Accepted) shouldBe (preview is AdminOutcome.Previewed)
+                        reader.check() shouldBe ReadOutcome.Found(log.state.value.version)
+                        reader.state.value shouldBe log.state.value
+                    }
+                    if (outcome is AdminOutcome.Accepted) passed++
+                }
+            }
+            (passed in SEEDS until SEEDS * STEPS) shouldBe true
+        }
+
         test("given a lost answer, when the operator sends the change again, then it counts once") {
             val table = ScriptedTable()
             val log = changeLog(table, FakeClock(), pause = {})
