--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -27,4 +27,6 @@
         RightsControlCommand(),
         RightsSharesCommand(),
         RightsStrandedCommand(),
+        AccountCostCommand(),
+        AccountVerifyCommand(),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -24,6 +24,7 @@
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.operator.AdministrationParts
+import org.verbenagauge.entry.operator.ChangeReporter
 import org.verbenagauge.entry.operator.Health
 import org.verbenagauge.entry.operator.administrationRoutes
 import org.verbenagauge.entry.operator.operatorListener
@@ -130,6 +131,7 @@
                     account::status,
                     ::fleetStatus,
                     clock,
+                    ChangeReporter(log, registry),
                 ),
                 settings.administration,
                 overTls = operatorTls != null,
