--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
@@ -7,4 +7,5 @@
     OK(0),
     USAGE(2),
     SETTINGS(3),
+    UNAVAILABLE(4),
 }
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
@@ -8,7 +8,7 @@
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val parser = ArgParser("verbenagauge")
-    parser.subcommands(ServeCommand())
+    parser.subcommands(ServeCommand(), MembersCommand())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     exitProcess(ExitCode.OK.number)
 }
