--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -29,4 +29,5 @@
         RightsStrandedCommand(),
         AccountCostCommand(),
         AccountVerifyCommand(),
+        PeersCommand(),
     )
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
@@ -10,6 +10,7 @@
     val parser = ArgParser("verbenagauge")
     parser.subcommands(
         ServeCommand(),
+        MembersCommand(),
         configCommands(),
         teamCommands(),
         keyCommands(),
