Probe connections and ejected workers better, linger at a stop, and keep the tick to waiting teams

A pool without idempotent work never brought an ejected worker back; any work probes it after failures that ran nothing, else after 60 s. The tick walked all teams that had ever waited in a pool; it now walks those that wait. A client that throws leads to internal-error instead of an exception.

--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
@@ -30,4 +30,7 @@
 
     /** The account or the audit trail is damaged. */
     DAMAGED(9),
+
+    /** A planned stop took too long and was cut off. */
+    STOP_TIMEOUT(10),
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -170,13 +170,18 @@
             else -> Health.READY
         }
 
-    /** Stops gracefully: refuses new requests, waits for the held ones, then closes the listeners. */
+    /**
+     * Stops gracefully: refuses new requests, waits for the held ones and for the balancer to turn away, then closes
+     * the listeners.
+     */
     public suspend fun stop() {
         stopping = true
         log.write(Event.ENTRY_STOPPING, "entry '${settings.entry.id}' stops with ${jobs.heldCount} requests held")
-        val stopByMillis = clock.monotonicMillis() + settings.limits.stopTimeoutMillis
+        val stopAtMillis = clock.monotonicMillis()
+        val stopByMillis = stopAtMillis + settings.limits.stopTimeoutMillis
         jobs.stopAccepting(stopByMillis)
         while (jobs.heldCount > 0 && clock.monotonicMillis() < stopByMillis) delay(STOP_POLL_MILLIS)
+        while (clock.monotonicMillis() < stopAtMillis + settings.limits.stopLingerMillis) delay(STOP_POLL_MILLIS)
         state.service.leave()
         callers.stopSuspend(LISTENER_GRACE_MILLIS, LISTENER_TIMEOUT_MILLIS)
         account.close(maxOf(stopByMillis, clock.monotonicMillis() + MIN_ACCOUNT_CLOSE_MILLIS))
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -34,7 +34,7 @@
     private val held = HeldRights(rights)
     private val requests = HashMap<Long, RequestState>()
     private val runningByTeam = HashMap<String, Int>()
-    private val startedElsewhereByTeam = HashMap<String, Long>()
+    private var startedElsewhereByTeam = emptyMap<String, Long>()
     private val runningStates = LinkedHashSet<RequestState>()
     private var stopByMillis: Long? = null
 
@@ -50,11 +50,8 @@
     /** Endpoints that are ejected now. */
     public val ejectedIds: Set<String> get() = endpoints.ejectedIds
 
-    /** Teams that have waited here, for [waitingOf]. */
-    public val teamIds: Set<String> get() = waiting.teamIds
-
-    /** Number of waiting requests of [teamId]. */
-    public fun waitingOf(teamId: String): Int = waiting.waitingOf(teamId)
+    /** Teams that have waiting requests, with the number of them. */
+    public val waitingByTeam: Map<String, Int> get() = waiting.waitingByTeam
 
     /** Returns what operators should see, once. */
     public fun takeNotices(): List<PlacementNotice> = endpoints.takeNotices()
@@ -332,11 +329,13 @@
         }
     }
 
+    // Counts from when a team began to wait here: before that it has no claim that the service could lessen.
     private fun chargeServiceElsewhere() {
-        for (teamId in waiting.teamIds) {
-            val total = fleetService.startedElsewhere(poolId, teamId)
-            val known = startedElsewhereByTeam.put(teamId, total) ?: continue
-            if (total > known) waiting.charge(teamId, (total - known) * runTimes.meanOfAllMillis)
+        val known = startedElsewhereByTeam
+        startedElsewhereByTeam = waiting.waitingByTeam.keys.associateWith { fleetService.startedElsewhere(poolId, it) }
+        for ((teamId, total) in startedElsewhereByTeam) {
+            val more = total - (known[teamId] ?: total)
+            if (more > 0) waiting.charge(teamId, more * runTimes.meanOfAllMillis)
         }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
@@ -17,6 +17,8 @@
 public class FairQueue {
     private val teams = HashMap<String, TeamBacklog>()
     private val ready = EnumMap<Lane, TreeSet<TeamBacklog>>(Lane::class.java)
+    private val waitingTeams = LinkedHashSet<TeamBacklog>()
+    private val blockedTeams = LinkedHashSet<TeamBacklog>()
     private val positions = HashMap<Long, Position>()
     private val startBy = PriorityQueue<Position>(compareBy { it.waiting.startByMillis })
     private val rising = PriorityQueue<Position>(compareBy { it.waiting.riseAtMillis })
@@ -32,11 +34,8 @@
     /** Number of waiting requests. */
     public val size: Int get() = positions.size
 
-    /** Teams that have had requests here. */
-    public val teamIds: Set<String> get() = teams.keys
-
-    /** Number of waiting requests of [teamId]. */
-    public fun waitingOf(teamId: String): Int = teams[teamId]?.size ?: 0
+    /** Teams that have requests here now, with the number of them. */
+    public val waitingByTeam: Map<String, Int> get() = waitingTeams.associate { it.teamId to it.size }
 
     /** Adds [waiting] with the weight of its team. */
     public fun add(
@@ -117,6 +116,7 @@
         val team = teams[teamId] ?: return
         if (!team.blocked) return
         team.blocked = false
+        blockedTeams.remove(team)
         // Being held by the limit gives no claim to service of the past.
         team.virtualTime = maxOf(team.virtualTime, virtualTime)
         Lane.entries.filter { team.hasAny(it) }.forEach { ready.getValue(it).add(team) }
@@ -124,7 +124,7 @@
 
     /** Lets all teams try again to start. */
     public fun unblockAll() {
-        teams.values.filter { it.blocked }.forEach { unblock(it.teamId) }
+        blockedTeams.toList().forEach { unblock(it.teamId) }
     }
 
     /** Lets requests rise whose time has come, and removes and returns those whose time to start has passed. */
@@ -175,6 +175,7 @@
             if (tryTake(team.teamId)) return team.first(lane)
             ready.values.forEach { it.remove(team) }
             team.blocked = true
+            blockedTeams.add(team)
         }
         return null
     }
@@ -188,6 +189,7 @@
             if (!team.blocked) ready.getValue(lane).add(team)
         }
         team.add(lane, position.waiting)
+        waitingTeams.add(team)
         workMillisByLane[lane.ordinal] += position.waiting.expectedRunMillis
     }
 
@@ -195,6 +197,7 @@
         val lane = position.lane
         val team = position.team
         team.remove(lane, position.waiting)
+        if (team.size == 0) waitingTeams.remove(team)
         workMillisByLane[lane.ordinal] -= position.waiting.expectedRunMillis
         if (team.hasAny(lane)) return
         ready.getValue(lane).remove(team)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
@@ -92,6 +92,7 @@
         pools.values.forEach { it.tick() }
     }
 
+    @Suppress("TooGenericExceptionCaught")
     override suspend fun handle(job: Job): JobAnswer {
         val progress = JobProgress(clock)
         val answer =
@@ -101,6 +102,8 @@
                 val left = progress.recordOfCancelled(job)
                 withContext(NonCancellable) { observer.answered(left) }
                 throw e
+            } catch (e: Exception) {
+                JobAnswer(Reason.INTERNAL_ERROR, detail = "$e")
             }
         withContext(NonCancellable) { observer.answered(progress.record(job, answer.reason)) }
         return answer
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
@@ -19,7 +19,8 @@
 ) {
     private val lock = ReentrantLock()
     private val decisions = HashMap<Long, CompletableDeferred<DispatchAction>>()
-    private val reportedByTeam = HashMap<String, Int>()
+
+    @Volatile private var reportedByTeam = emptyMap<String, Int>()
 
     /** Number of waiting requests. */
     val queued: Int get() = lock.withLock { dispatcher.queued }
@@ -80,13 +81,13 @@
     }
 
     private fun reportDemand() {
-        val changed =
-            lock.withLock {
-                dispatcher.teamIds
-                    .associateWith { dispatcher.waitingOf(it) }
-                    .filter { (teamId, waiting) -> reportedByTeam.put(teamId, waiting) != waiting }
-            }
-        changed.forEach { (teamId, waiting) -> rights.reportDemand(poolId, teamId, waiting) }
+        val waiting = lock.withLock { dispatcher.waitingByTeam }
+        val known = reportedByTeam
+        reportedByTeam = waiting
+        waiting.filter { (teamId, count) -> known[teamId] != count }.forEach { (teamId, count) ->
+            rights.reportDemand(poolId, teamId, count)
+        }
+        known.keys.filter { it !in waiting }.forEach { rights.reportDemand(poolId, it, waiting = 0) }
     }
 
     private class Decided(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointClient.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointClient.kt
@@ -18,6 +18,7 @@
 import kotlinx.io.readByteArray
 import org.apache.hc.client5.http.impl.async.HttpAsyncClientBuilder
 import org.apache.hc.core5.http.HttpException
+import org.apache.hc.core5.reactor.IOReactorConfig
 import org.apache.hc.core5.util.TimeValue
 import org.verbenagauge.entry.EndpointAnswer
 import org.verbenagauge.entry.Job
@@ -85,7 +86,9 @@
                 customizeClient {
                     // Only the verdict decides on a retry; the library must not send a request a second time.
                     disableAutomaticRetries()
-                    evictIdleConnections(TimeValue.ofMilliseconds(IDLE_CONNECTION_MILLIS))
+                    setKeepAliveStrategy { _, _ -> TimeValue.ofMilliseconds(MAX_IDLE_MILLIS) }
+                    evictIdleConnections(TimeValue.ofMilliseconds(EVICT_AFTER_MILLIS))
+                    setIOReactorConfig(probedConnections)
                     customize()
                 }
             }
@@ -173,7 +176,21 @@
 
     private companion object {
         const val MAX_RUN_HEADER = EndpointHeaders.MAX_RUN_MILLIS
-        const val IDLE_CONNECTION_MILLIS = 2_000L
+
+        // Reused only while busy: the longer a connection idles, the likelier it has gone silent.
+        const val MAX_IDLE_MILLIS = 100L
+        const val EVICT_AFTER_MILLIS = 2_000L
+
+        // A connection that goes silent while its request runs is given up after idle + count * interval seconds.
+        val probedConnections: IOReactorConfig =
+            IOReactorConfig
+                .custom()
+                .setTcpNoDelay(true)
+                .setSoKeepAlive(true)
+                .setTcpKeepIdle(2)
+                .setTcpKeepInterval(1)
+                .setTcpKeepCount(3)
+                .build()
         val statusesWithoutBody = setOf(HttpStatusCode.NoContent, HttpStatusCode.NotModified)
         const val REQUEST_ID_HEADER = "X-Request-Id"
         const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointPool.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointPool.kt
@@ -100,7 +100,7 @@
 
     /** Whether [take] may find a slot. */
     public fun mayHaveSlot(nowMillis: Long): Boolean =
-        open.isNotEmpty() || absent.any { it.absence.isProbeDue(nowMillis) }
+        open.isNotEmpty() || absent.any { it.isProbeDue(idempotent = true, nowMillis) }
 
     /** Takes a slot for a request with [need]; null when none is free. */
     public fun take(
@@ -148,9 +148,9 @@
         val blamed = blameJob(state, requestId, jobKey)
         if (!blamed) state.failed()
         if (state.absence != null) {
-            if (blamed) restore(state) else state.leave(state.absence!!.kind, nowMillis)
+            if (blamed) restore(state) else state.leave(state.absence!!.kind, refuses = jobKey == null, nowMillis)
         } else if (!blamed) {
-            considerEjection(state, nowMillis)
+            considerEjection(state, refuses = jobKey == null, nowMillis)
         }
         return !blamed
     }
@@ -162,7 +162,7 @@
     ) {
         val state = states[instanceId] ?: return
         if (state.absence == null) notices += PlacementNotice.Draining(instanceId)
-        leave(state, AbsenceKind.DRAINING, nowMillis)
+        leave(state, AbsenceKind.DRAINING, refuses = true, nowMillis)
     }
 
     /** Handles that the request of [placement] ended without a sign of the endpoint's health. */
@@ -201,11 +201,12 @@
 
     private fun considerEjection(
         state: EndpointState,
+        refuses: Boolean,
         nowMillis: Long,
     ) {
         if (!state.isFailing(othersRatio(state))) return
         if (ejectedCount() < maxAway - awayCount) {
-            leave(state, AbsenceKind.EJECTED, nowMillis)
+            leave(state, AbsenceKind.EJECTED, refuses, nowMillis)
             notices += PlacementNotice.Ejected(state.instanceId)
         } else if (!state.suspect) {
             state.suspect = true
@@ -232,9 +233,10 @@
     private fun leave(
         state: EndpointState,
         kind: AbsenceKind,
+        refuses: Boolean,
         nowMillis: Long,
     ) {
-        state.leave(kind, nowMillis)
+        state.leave(kind, refuses, nowMillis)
         absent.add(state)
         close(state)
     }
@@ -254,8 +256,8 @@
         need: PlacementNeed,
         nowMillis: Long,
     ): Placement? {
-        if (absent.isEmpty() || !need.idempotent || need.triedInstanceIds.isNotEmpty()) return null
-        val state = absent.firstOrNull { it.absence.isProbeDue(nowMillis) } ?: return null
+        if (absent.isEmpty() || need.triedInstanceIds.isNotEmpty()) return null
+        val state = absent.firstOrNull { it.isProbeDue(need.idempotent, nowMillis) } ?: return null
         if (!rights.tryTake(Resource.Slot(state.instanceId))) return null
         state.absence?.probing = true
         return Placement(state.view.address, isProbe = true)
@@ -304,5 +306,8 @@
         state.openIndex = -1
     }
 
-    private fun Absence?.isProbeDue(nowMillis: Long) = this != null && !probing && probeAtMillis <= nowMillis
+    private fun EndpointState.isProbeDue(
+        idempotent: Boolean,
+        nowMillis: Long,
+    ): Boolean = absence?.isProbeDue(idempotent, nowMillis) ?: false
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointState.kt
@@ -64,11 +64,14 @@
         return (often || inRow) && failureRatio > OTHERS_FACTOR * othersRatio
     }
 
+    /** Takes no ordinary work from now on; [refuses] says that its last failure ran nothing. */
     fun leave(
         kind: AbsenceKind,
+        refuses: Boolean,
         nowMillis: Long,
     ) {
-        absence = Absence(kind, nowMillis + backoffMillis)
+        val probeAtMillis = nowMillis + backoffMillis
+        absence = Absence(kind, probeAtMillis, if (refuses) probeAtMillis else probeAtMillis + LAST_RESORT_MILLIS)
         backoffMillis = minOf(MAX_BACKOFF_MILLIS, backoffMillis * 2)
         suspect = false
     }
@@ -95,6 +98,7 @@
         const val OTHERS_FACTOR = 4.0
         const val SUCCESSES_TO_RESET_BACKOFF = 20
         const val MIN_BACKOFF_MILLIS = 1_000L
+        const val LAST_RESORT_MILLIS = 60_000L
         const val MAX_BACKOFF_MILLIS = 30_000L
     }
 }
@@ -108,10 +112,23 @@
     DRAINING,
 }
 
-/** Time in which no ordinary work goes to an endpoint; from [probeAtMillis] single requests probe it. */
+/**
+ * Time in which no ordinary work goes to an endpoint.
+ *
+ * @property probeAtMillis from when single idempotent requests probe it.
+ * @property anyWorkAtMillis from when any single request does: at once when a failure runs nothing, else late, for
+ *   pools that have no idempotent work.
+ */
 internal class Absence(
     val kind: AbsenceKind,
-    val probeAtMillis: Long,
+    private val probeAtMillis: Long,
+    private val anyWorkAtMillis: Long,
 ) {
     var probing: Boolean = false
+
+    /** Whether an [idempotent] request may probe the endpoint now. */
+    fun isProbeDue(
+        idempotent: Boolean,
+        nowMillis: Long,
+    ): Boolean = !probing && nowMillis >= if (idempotent) probeAtMillis else anyWorkAtMillis
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
@@ -97,6 +97,7 @@
  * @property staleAfterMillis age of the last confirmation after which the configuration counts as stale; the same on
  * all entries.
  * @property stopTimeoutMillis longest planned stop.
+ * @property stopLingerMillis shortest planned stop, in which new requests are refused until the balancer turns away.
  */
 @Serializable
 public data class LimitSettings(
@@ -108,4 +109,5 @@
     val connectTimeoutMillis: Long = 500,
     val staleAfterMillis: Long = 2_000,
     val stopTimeoutMillis: Long = 60_000,
+    val stopLingerMillis: Long = 1_000,
 )
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
@@ -0,0 +1,209 @@
+package org.verbenagauge.entry.admission
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.verbenagauge.entry.EndpointAnswer
+import org.verbenagauge.entry.Job
+import org.verbenagauge.entry.JobAnswer
+import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.placement.EndpointAddress
+import org.verbenagauge.entry.placement.EndpointClient
+import org.verbenagauge.entry.placement.EndpointView
+import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.rights.Rights
+import org.verbenagauge.entry.state.Configuration
+import org.verbenagauge.entry.state.Pool
+import org.verbenagauge.entry.state.Queue
+import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.TeamKey
+import org.verbenagauge.entry.state.sha256Hex
+
+private const val RUN_MILLIS = 100L
+
+class JobServiceTest :
+    FunSpec({
+        test("given a waiting request, when its key is withdrawn, then it is refused and nothing runs") {
+            runTest {
+                val world = ServiceWorld(this)
+                val first = async { world.jobs.handle(job("first")) }
+                val second = async { world.jobs.handle(job("second")) }
+                runCurrent()
+                world.publish(keys = emptyList())
+                first.await().reason shouldBe Reason.SERVED
+                second.await().reason shouldBe Reason.KEY_UNKNOWN
+                world.client.sent shouldBe listOf("first")
+                world.rights.used.values
+                    .sum() shouldBe 0
+            }
+        }
+
+        test("given an entry that became stale, when a waiting request could start, then it is refused as not run") {
+            runTest {
+                val world = ServiceWorld(this)
+                val first = async { world.jobs.handle(job("first")) }
+                val second = async { world.jobs.handle(job("second")) }
+                runCurrent()
+                world.fresh = false
+                first.await().reason shouldBe Reason.SERVED
+                second.await().reason shouldBe Reason.ENTRY_STALE
+                world.client.sent shouldBe listOf("first")
+            }
+        }
+
+        test("given a team without rights, when it waits, then demand is reported and gained rights start it") {
+            runTest {
+                val world = ServiceWorld(this)
+                world.rights.limits[Resource.Team("team")] = 0
+                val answer = async { world.jobs.handle(job("first")) }
+                runCurrent()
+                world.jobs.tick()
+                world.rights.demand shouldContain Demand("pool", "team", 1)
+                world.rights.gain(Resource.Team("team"), 1)
+                answer.await().reason shouldBe Reason.SERVED
+                world.jobs.tick()
+                world.rights.demand.last() shouldBe Demand("pool", "team", 0)
+            }
+        }
+
+        test("given a running request, when its caller leaves, then slot and right are kept to the end of the run") {
+            runTest {
+                val world = ServiceWorld(this)
+                val caller = launch { world.jobs.handle(job("first")) }
+                runCurrent()
+                caller.cancel()
+                delay(RUN_MILLIS / 2)
+                world.rights.used.values
+                    .sum() shouldBe 2
+                delay(RUN_MILLIS)
+                world.rights.used.values
+                    .sum() shouldBe 0
+                world.reasons shouldBe listOf(Reason.SERVED)
+            }
+        }
+
+        test("given a waiting request, when its caller leaves, then it is recorded as not run") {
+            runTest {
+                val world = ServiceWorld(this)
+                world.rights.limits[Resource.Team("team")] = 0
+                val caller = launch { world.jobs.handle(job("first")) }
+                runCurrent()
+                caller.cancel()
+                runCurrent()
+                world.reasons shouldBe listOf(Reason.CALLER_CANCELLED)
+                world.client.sent.shouldBeEmpty()
+                world.jobs.queuedCount shouldBe 0
+            }
+        }
+
+        test("given a client that throws, when a request is sent, then it may have run and its right is held for the longest run") {
+            runTest {
+                val world = ServiceWorld(this)
+                world.client.fails = true
+                world.jobs.handle(job("first")).reason shouldBe Reason.INTERNAL_ERROR
+                world.rights.used.values
+                    .sum() shouldBe 2
+                delay(MAX_RUN_MILLIS)
+                world.jobs.tick()
+                world.rights.used.values
+                    .sum() shouldBe 0
+            }
+        }
+    })
+
+private const val MAX_RUN_MILLIS = 1_000L
+
+private fun job(requestId: String) = Job(requestId, "queue", "Bearer key", null, null, null, ByteArray(0))
+
+private class ServiceWorld(
+    scope: TestScope,
+) {
+    val client = FakeClient()
+    val rights = FakeRights()
+    val reasons = ArrayList<Reason>()
+    var fresh = true
+    val jobs = JobService(VirtualClock(scope), client, rights, { fresh }, { reasons += it.reason }, 10, 10)
+
+    init {
+        publish(listOf(TeamKey("k", sha256Hex("key"))))
+    }
+
+    fun publish(keys: List<TeamKey>) {
+        val configuration =
+            Configuration(
+                pools = listOf(Pool("pool", "service", slotsPerWorker = 1)),
+                teams = listOf(Team("team", keys, maxRunning = 1)),
+                queues = listOf(Queue("queue", "pool", maxRunMillis = MAX_RUN_MILLIS)),
+            )
+        jobs.update(configuration, mapOf("pool" to listOf(EndpointView(EndpointAddress("worker", "", 1), true))))
+    }
+}
+
+private class FakeClient : EndpointClient {
+    val sent = ArrayList<String>()
+    var fails = false
+
+    override suspend fun send(
+        job: Job,
+        address: EndpointAddress,
+        idempotent: Boolean,
+        maxRunMillis: Long,
+    ): JobAnswer {
+        sent += job.requestId
+        check(!fails) { "the client failed" }
+        delay(RUN_MILLIS)
+        return JobAnswer(Reason.SERVED, EndpointAnswer(200, null, job.body))
+    }
+}
+
+private data class Demand(
+    val poolId: String,
+    val teamId: String,
+    val waiting: Int,
+)
+
+private class FakeRights : Rights {
+    val limits = HashMap<Resource, Int>()
+    val used = HashMap<Resource, Int>()
+    val demand = ArrayList<Demand>()
+    private var listener: () -> Unit = {}
+
+    fun gain(
+        resource: Resource,
+        limit: Int,
+    ) {
+        limits[resource] = limit
+        listener()
+    }
+
+    override fun free(resource: Resource): Int = (limits[resource] ?: 1) - (used[resource] ?: 0)
+
+    override fun tryTake(resource: Resource): Boolean {
+        if (free(resource) <= 0) return false
+        used.merge(resource, 1, Int::plus)
+        return true
+    }
+
+    override fun release(resource: Resource) {
+        used.merge(resource, -1, Int::plus)
+    }
+
+    override fun reportDemand(
+        poolId: String,
+        teamId: String,
+        waiting: Int,
+    ) {
+        demand += Demand(poolId, teamId, waiting)
+    }
+
+    override fun onGained(listener: () -> Unit) {
+        this.listener = listener
+    }
+}
