--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
@@ -103,7 +103,9 @@
             }
         }
 
-        test("given a client that throws, when a request is sent, then it may have run and its right is held for the longest run") {
+        test(
+            "given a client that throws, when a request is sent, then it may have run and its right is held for the longest run",
+        ) {
             runTest {
                 val world = ServiceWorld(this)
                 world.client.fails = true
