Keep the HTTP server open at SIGTERM until the planned stop has ended

The server's own shutdown hook closed the listener at SIGTERM and cut running requests; a run by hand showed health 000 and no answer to the held request. Tests that called stop() in the same process could not see it. A test now sends SIGTERM to a process that holds a request: it is served, new ones are refused as entry-stopping, and the exit code is 0.

--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.cli
 
+import org.verbenagauge.entry.STOP_TIMEOUT_EXIT_CODE
+
 /** Exit codes of the command line, by kind of error. */
 public enum class ExitCode(
     public val number: Int,
@@ -32,5 +34,5 @@
     DAMAGED(9),
 
     /** A planned stop took too long and was cut off. */
-    STOP_TIMEOUT(10),
+    STOP_TIMEOUT(STOP_TIMEOUT_EXIT_CODE),
 }
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ServeCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ServeCommand.kt
@@ -5,13 +5,11 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeoutOrNull
-import org.apache.logging.log4j.LogManager
-import org.verbenagauge.entry.Entry
 import org.verbenagauge.entry.entry
 import org.verbenagauge.entry.settings.EntrySettings
 import org.verbenagauge.entry.settings.SettingsOutcome
 import org.verbenagauge.entry.settings.readSettings
+import org.verbenagauge.entry.stopOnTermination
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
@@ -34,21 +32,11 @@
     private fun serve(settings: EntrySettings) {
         val entry = entry(settings)
         val longestMillis = settings.limits.stopTimeoutMillis + settings.limits.stopLingerMillis + CLOSING_MILLIS
-        Runtime.getRuntime().addShutdownHook(Thread { stop(entry, longestMillis) })
+        stopOnTermination(entry, longestMillis)
         runBlocking { entry.start() }
         Thread.currentThread().join()
     }
 
-    // A process that ends by a signal would not exit with 0 by itself.
-    private fun stop(
-        entry: Entry,
-        longestMillis: Long,
-    ) {
-        val stopped = runBlocking { withTimeoutOrNull(longestMillis) { entry.stop() } }
-        LogManager.shutdown()
-        Runtime.getRuntime().halt(if (stopped == null) ExitCode.STOP_TIMEOUT.number else ExitCode.OK.number)
-    }
-
     private companion object {
         const val CLOSING_MILLIS = 10_000L
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/listener/HttpListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/listener/HttpListener.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 
+private const val SHUTDOWN_HOOK_PROPERTY = "io.ktor.server.engine.ShutdownHook"
 private const val MAX_HEADER_BYTES = 16 * 1_024
 private const val REQUEST_READ_TIMEOUT_SECONDS = 60
 
@@ -26,6 +27,15 @@
 public fun httpListener(
     address: ListenerAddress,
     module: Application.() -> Unit,
+): EmbeddedServer<*, *> {
+    // The server's own hook closes it at SIGTERM, while requests are running.
+    System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false")
+    return server(address, module)
+}
+
+private fun server(
+    address: ListenerAddress,
+    module: Application.() -> Unit,
 ): EmbeddedServer<*, *> =
     embeddedServer(
         Netty,
