--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ExitCode.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.cli
 
+import org.verbenagauge.entry.STOP_TIMEOUT_EXIT_CODE
+
 /** Exit codes of the command line, by kind of error. */
 public enum class ExitCode(
     public val number: Int,
@@ -30,4 +32,7 @@
 
     /** The account or the audit trail is damaged. */
     DAMAGED(9),
+
+    /** A planned stop took too long and was cut off. */
+    STOP_TIMEOUT(STOP_TIMEOUT_EXIT_CODE),
 }
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ServeCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ServeCommand.kt
@@ -9,8 +9,8 @@
 import org.verbenagauge.entry.settings.EntrySettings
 import org.verbenagauge.entry.settings.SettingsOutcome
 import org.verbenagauge.entry.settings.readSettings
+import org.verbenagauge.entry.stopOnTermination
 import java.nio.file.Path
-import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
 @OptIn(ExperimentalCli::class)
@@ -31,14 +31,13 @@
 
     private fun serve(settings: EntrySettings) {
         val entry = entry(settings)
-        val stopped = CountDownLatch(1)
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                runBlocking { entry.stop() }
-                stopped.countDown()
-            },
-        )
+        val longestMillis = settings.limits.stopTimeoutMillis + settings.limits.stopLingerMillis + CLOSING_MILLIS
+        stopOnTermination(entry, longestMillis)
         runBlocking { entry.start() }
-        stopped.await()
+        Thread.currentThread().join()
+    }
+
+    private companion object {
+        const val CLOSING_MILLIS = 10_000L
     }
 }
