--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/AdminCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/AdminCommand.kt
@@ -34,12 +34,19 @@
 internal class CommandGroup(
     name: String,
     description: String,
-    vararg commands: Subcommand,
+    private vararg val commands: Subcommand,
 ) : Subcommand(name, description) {
     init {
         subcommands(*commands)
     }
 
+    /** Prints the help of the command [name] of this group; returns when there is none. */
+    fun printHelpOf(name: String) {
+        val command = commands.firstOrNull { it.name == name } ?: return
+        println(command.actionDescription)
+        command.parse(arrayOf("--help"))
+    }
+
     override fun execute() = Unit
 }
 
