--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzWorld.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FuzzWorld.kt
@@ -7,7 +7,7 @@
 
 internal const val FUZZ_CHAOS_MILLIS = 8_000L
 internal const val FUZZ_CALM_MILLIS = 30_000L
-internal const val FUZZ_LONGEST_RUN_MILLIS = 500L
+internal const val FUZZ_LONGEST_RUN_MILLIS = 1_500L
 private const val TICK_MILLIS = 100L
 private const val POOL = "bids"
 private const val LONGEST_UNAWARE_MILLIS = 2_000L
