--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetSchedule.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetSchedule.kt
@@ -2,9 +2,9 @@
 
 import org.verbenagauge.entry.fleet.FleetExecutor
 import org.verbenagauge.entry.fleet.FleetProgress
-import org.verbenagauge.entry.fleet.FleetSettings
 import org.verbenagauge.entry.fleet.PoolDemand
 import org.verbenagauge.entry.fleet.WaveStage
+import org.verbenagauge.entry.settings.FleetSettings
 import org.verbenagauge.entry.state.AvailabilityBudget
 import org.verbenagauge.entry.state.Configuration
 import org.verbenagauge.entry.state.ConfigurationEdit
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -15,6 +15,9 @@
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
+import org.verbenagauge.entry.fleet.FleetManager
+import org.verbenagauge.entry.fleet.ListRecorder
+import org.verbenagauge.entry.fleet.fleetManager
 import org.verbenagauge.entry.listener.ListenerAddress
 import org.verbenagauge.entry.listener.TlsIdentity
 import org.verbenagauge.entry.listener.TlsOutcome
@@ -70,7 +73,12 @@
 
     @Volatile private var lastView = FleetView(ControlState(), emptyList())
 
-    private val state = entryState(settings, platform, clock, log, ::publish)
+    private val instances = ListRecorder(platform.instances, clock)
+    private val state =
+        entryState(settings, Platform(platform.table, platform.objects, instances), clock, log, ::publish)
+
+    /** Drives waves and moves. */
+    public val fleet: FleetManager = fleetManager(settings, state, instances, clock, log)
 
     private val account = entryAccount(settings.entry, state, clock, log)
 
@@ -141,6 +149,7 @@
         supervisor.start(account)
         supervisor.start(inForceLog)
         supervisor.start(AdmissionTicker(jobs))
+        supervisor.start(fleet)
         log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/DemandMemory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/DemandMemory.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.fleet
 
+import org.verbenagauge.entry.settings.FleetSettings
+
 /** Remembers which pools were full with urgent work lately, so that a wave does not follow every burst. */
 internal class DemandMemory(
     private val settings: FleetSettings,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.fleet
 
+import org.verbenagauge.entry.settings.FleetSettings
 import org.verbenagauge.entry.state.Configuration
 import org.verbenagauge.entry.state.ControlState
 import org.verbenagauge.entry.state.FleetEdit
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -43,6 +43,12 @@
     ENDPOINT_DRAINING(3003, Level.INFO),
     EJECTION_BUDGET_EXHAUSTED(3004, Level.ERROR),
     JOB_FAILS_EVERYWHERE(3005, Level.WARN),
+    FLEET_STEP(5001, Level.INFO),
+    INSTANCE_LOST(5002, Level.ERROR),
+    WAVE_HELD(5003, Level.WARN),
+    WAVE_RESUMED(5004, Level.INFO),
+    FLEET_EDIT_REFUSED(5005, Level.WARN),
+    INSTANCE_ACTION_FAILED(5006, Level.WARN),
 }
 
 /** Writes numbered events as structured JSON. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
@@ -13,6 +13,7 @@
  * @property limits bounds on everything that can grow.
  * @property peers other entries, or null for an entry that shares nothing but the table service with them.
  * @property administration who may administer before the document names an operator.
+ * @property fleet waves and moves.
  */
 @Serializable
 public data class EntrySettings(
@@ -23,6 +24,7 @@
     val limits: LimitSettings = LimitSettings(),
     val peers: PeerSettings? = null,
     val administration: AdministrationSettings = AdministrationSettings(),
+    val fleet: FleetSettings = FleetSettings(),
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetSettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/FleetSettings.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.fleet
+package org.verbenagauge.entry.settings
 
 import kotlinx.serialization.Serializable
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
@@ -64,6 +64,7 @@
         atLeastOne("limits.stopTimeoutMillis", settings.limits.stopTimeoutMillis),
         settings.peers?.let(::peerProblem),
         administrationProblem(settings.administration),
+        fleetProblem(settings.fleet),
     ).firstOrNull()
 
 private fun portProblem(
@@ -84,3 +85,15 @@
             "administration.sessionSecret: write at least $MIN_SESSION_SECRET_CHARS characters"
         else -> null
     }
+
+private fun fleetProblem(fleet: FleetSettings): String? =
+    listOfNotNull(
+        atLeastOne("fleet.tickMillis", fleet.tickMillis),
+        atLeastOne("fleet.drainMarginMillis", fleet.drainMarginMillis),
+        atLeastOne("fleet.healthyMillis", fleet.healthyMillis),
+        atLeastOne("fleet.maxListAgeMillis", fleet.maxListAgeMillis),
+        atLeastOne("fleet.takeoverMillis", fleet.takeoverMillis),
+        atLeastOne("fleet.urgentMemoryMillis", fleet.urgentMemoryMillis),
+        atLeastOne("fleet.urgentPatienceMillis", fleet.urgentPatienceMillis),
+        atLeastOne("fleet.resumeMillis", fleet.resumeMillis),
+    ).firstOrNull()
