--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
@@ -42,6 +42,15 @@
     /** While true, every call is answered with 503 and has no effect. */
     @Volatile public var down: Boolean = false
 
+    /** Time from a reboot until the instance is live again; null for one that never comes back. */
+    @Volatile public var rebootMillis: Long? = 0
+
+    /** Sees each reboot before it takes effect. */
+    @Volatile public var onReboot: (instanceId: String) -> Unit = {}
+
+    private val operationIds = ConcurrentHashMap.newKeySet<String>()
+    private val backAtNanos = ConcurrentHashMap<String, Long>()
+
     /** Adds or replaces an instance of the list. */
     public fun put(instance: ListedInstance) {
         instances[instance.id] = instance
@@ -115,6 +124,7 @@
     private fun Route.instanceRoutes() {
         get("/v1/instances") {
             call.whenUp {
+                endReboots()
                 val listed = instances.values.sortedBy { it.id }
                 call.respondJson(json.encodeToString(ListSerializer(ListedInstance.serializer()), listed))
             }
@@ -123,7 +133,8 @@
             call.whenUp {
                 val request = json.decodeFromString(ActRequest.serializer(), call.receiveText())
                 val id = call.parameters["id"].orEmpty()
-                val known = instances.computeIfPresent(id) { _, instance -> act(instance, request.action) }
+                val known = instances[id]
+                if (known != null && operationIds.add(request.operationId)) act(known, request.action)
                 call.respond(if (known == null) HttpStatusCode.NotFound else HttpStatusCode.OK)
             }
         }
@@ -132,12 +143,31 @@
     private fun act(
         instance: ListedInstance,
         action: InstanceAction,
-    ): ListedInstance =
+    ) {
         when (action) {
-            InstanceAction.DRAIN -> instance.copy(phase = InstancePhase.LEAVING)
-            InstanceAction.REBOOT, InstanceAction.UNDRAIN -> instance.copy(phase = InstancePhase.LIVE)
-            InstanceAction.CHECKPOINT, InstanceAction.STOP_TASKS -> instance
+            InstanceAction.DRAIN -> put(instance.copy(phase = InstancePhase.LEAVING))
+            InstanceAction.UNDRAIN -> put(instance.copy(phase = InstancePhase.LIVE))
+            InstanceAction.REBOOT -> reboot(instance)
+            InstanceAction.CHECKPOINT, InstanceAction.STOP_TASKS -> Unit
+        }
+    }
+
+    private fun reboot(instance: ListedInstance) {
+        onReboot(instance.id)
+        put(instance.copy(phase = InstancePhase.REBOOTING))
+        rebootMillis?.let { backAtNanos[instance.id] = System.nanoTime() + it * NANOS_PER_MILLI }
+    }
+
+    private fun endReboots() {
+        val now = System.nanoTime()
+        backAtNanos.entries.removeIf { (id, backAt) ->
+            val isBack = now - backAt >= 0
+            if (isBack) instances.computeIfPresent(id) { _, instance -> instance.booted() }
+            isBack
         }
+    }
+
+    private fun ListedInstance.booted() = copy(phase = InstancePhase.LIVE, bootCount = bootCount + 1)
 
     private suspend fun ApplicationCall.whenUp(body: suspend () -> Unit) {
         if (down) respond(HttpStatusCode.ServiceUnavailable) else body()
@@ -158,6 +188,7 @@
     ) = respondText(text, ContentType.Application.Json, status)
 
     private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
         val json = Json { encodeDefaults = true }
     }
 }
