--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -20,4 +20,6 @@
         PathThroughputCommand(),
         UrgentBurstCommand(),
         ShareNearnessCommand(),
+        FleetRolloutCommand(),
+        FleetStepCommand(),
     )
