--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetScenario.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetScenario.kt
@@ -12,6 +12,7 @@
 import org.verbenagauge.standin.fleet.VirtualPlatform
 
 private const val WORKERS_PER_RACK = 4
+private val spareBudget = AvailabilityBudget(maxAway = 2)
 
 /** Longest run of a request in every scenario. */
 internal const val MAX_RUN_MILLIS = 30_000L
@@ -51,7 +52,7 @@
     fun maxAway(size: Int): Int = budget.maxAwayOf(size)
 
     private fun document(): Configuration {
-        val pools = poolSizes.indices.map { Pool("pool-$it", "service-$it", budget, spare = it == poolSizes.lastIndex) }
+        val pools = poolSizes.indices.map(::pool)
         return Configuration(
             pools = pools,
             queues = pools.map { Queue("queue-${it.id}", it.id, maxRunMillis = MAX_RUN_MILLIS) },
@@ -59,6 +60,11 @@
         )
     }
 
+    private fun pool(index: Int): Pool {
+        val isSpare = index == poolSizes.lastIndex
+        return Pool("pool-$index", "service-$index", if (isSpare) spareBudget else budget, spare = isSpare)
+    }
+
     // One instance of each pool in turn, so that a rack holds instances of several pools.
     private fun dealtPoolIds(): List<String> {
         val left = poolSizes.toMutableList()
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetStepCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetStepCommand.kt
@@ -25,17 +25,27 @@
         executor.update(platform.state)
         executor.listed(checkNotNull(platform.list()), askedAtMillis = 1)
         repeat(WARM_UP) { executor.tick(1, 1, rank = 0) }
+        measure("planning decision") { executor.tick(1, 1, rank = 0) }
+        val idle = FleetExecutor(FleetSettings())
+        repeat(WARM_UP) { idle.tick(1, 1, rank = 0) }
+        measure("decision with nothing to plan") { idle.tick(1, 1, rank = 0) }
+    }
+
+    private fun measure(
+        name: String,
+        decide: () -> Unit,
+    ) {
         val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
         val nanos = Histogram(3)
         val before = threads.currentThreadAllocatedBytes
         repeat(DECISIONS) {
             val start = System.nanoTime()
-            executor.tick(1, 1, rank = 0)
+            decide()
             nanos.recordValue(System.nanoTime() - start)
         }
         val bytes = (threads.currentThreadAllocatedBytes - before) / DECISIONS
         val p50 = nanos.getValueAtPercentile(50.0) / NANOS_PER_MICRO
         val p99 = nanos.getValueAtPercentile(99.0) / NANOS_PER_MICRO
-        println("one decision at 1,200 instances: p50 %.0f us, p99 %.0f us, %d bytes allocated".format(p50, p99, bytes))
+        println("$name at 1,200 instances: p50 %.0f us, p99 %.0f us, %d bytes allocated".format(p50, p99, bytes))
     }
 }
--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetOracle.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetOracle.kt
@@ -14,6 +14,7 @@
     lateinit var fleet: VirtualFleet
     val violations = ArrayList<String>()
     val lastEdits = ArrayDeque<FleetEdit>()
+    private val rebootedSteps = HashSet<String>()
     private val reboots = HashMap<MaintainedInstance, Int>()
 
     override fun stored(
@@ -89,6 +90,11 @@
         if (instance.runningCount > 0) violate("cut short: ${instance.runningCount} jobs run on '$id' at its reboot")
         val step = state.fleet.stepByInstance[id]
         if (step?.phase != StepPhase.REBOOTING) violate("stray reboot of '$id' in step $step")
+        if (step != null &&
+            !rebootedSteps.add("$id of version ${step.takenOutVersion}")
+        ) {
+            violate("once: '$id' again in $step")
+        }
         val purpose = step?.purpose
         if (purpose is StepPurpose.Maintenance) reboots.merge(MaintainedInstance(purpose.waveId, id), 1, Int::plus)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
@@ -10,6 +10,8 @@
 import org.verbenagauge.entry.state.StepPurpose
 import org.verbenagauge.entry.state.WaveHold
 
+private const val REPLAN_MILLIS = 5_000L
+
 /**
  * Drives waves, moves and their steps. A pure decision: it does no I/O and knows no clock, and its caller
  * makes sure that one event is handled at a time.
@@ -30,10 +32,15 @@
     private val takeover = Takeover(settings.takeoverMillis)
     private var control = ControlState()
     private var versionInForce = 0L
+    private var listed = emptyList<ListedInstance>()
+    private var planAgainAtMillis = 0L
 
     /** Takes in the shared state; an older one is ignored. */
     public fun update(state: ControlState) {
-        if (state.version >= control.version) control = state
+        if (state.version > control.version) {
+            control = state
+            planAgainAtMillis = 0
+        }
     }
 
     /** Takes in the platform's list, which was asked for at [askedAtMillis]. */
@@ -42,6 +49,8 @@
         askedAtMillis: Long,
     ) {
         sightings.update(instances, askedAtMillis)
+        if (instances != listed) planAgainAtMillis = 0
+        listed = instances
     }
 
     /** Takes in that every entry that may still place work has [version] or a later one. */
@@ -86,9 +95,8 @@
     ): List<FleetAction> {
         val round = Round(nowMillis, nowWallMillis)
         memories.retain(control.fleet)
-        blocked.note(round.rooms, nowMillis)
         control.configuration.pools.forEach { noteDemand(it.id, nowMillis) }
-        val edit = round.nextEdit()
+        val edit = round.stepEdit() ?: planEdit(round, nowMillis)
         val propose = edit?.let { FleetAction.Propose(control.version, it) }
         val actions = listOfNotNull(propose) + round.stepActions()
         if (!takeover.mayAct(control.version, actions, rank, nowMillis)) return emptyList()
@@ -105,6 +113,18 @@
         return progressReport(control, round.rooms, round.decisions, round.waitingMoves, round.waits, nowWallMillis)
     }
 
+    // What was planned stays true until the state or the list changes; only the passing of time is looked at now and then.
+    private fun planEdit(
+        round: Round,
+        nowMillis: Long,
+    ): FleetEdit? {
+        if (nowMillis < planAgainAtMillis) return null
+        blocked.note(round.rooms, nowMillis)
+        val edit = round.planEdit()
+        if (edit == null) planAgainAtMillis = nowMillis + REPLAN_MILLIS
+        return edit
+    }
+
     private fun noteAsked(act: FleetAction.Act) {
         memories.known(act.instanceId)?.askedOperationIds?.add(act.operationId)
     }
@@ -121,11 +141,12 @@
     ) {
         private val configuration: Configuration = control.configuration
         private val fleet = control.fleet
-        private val director =
+        private val director by lazy {
             WaveDirector(planner, settings, control, sightings, demand, demandView, nowMillis, nowWallMillis)
-        val rooms: Map<String, PoolRoom> = director.rooms
+        }
+        val rooms: Map<String, PoolRoom> get() = director.rooms
         private val moves by lazy { MoveDirector(control, rooms, sightings, nowWallMillis) }
-        private val lending = Lending(control, rooms, sightings, blocked, nowMillis, nowWallMillis)
+        private val lending by lazy { Lending(control, rooms, sightings, blocked, nowMillis, nowWallMillis) }
         private val steps = decideSteps()
         private val nowWall = nowWallMillis
         val decisions: List<WaveDecision> by lazy { director.decide() }
@@ -134,9 +155,10 @@
 
         fun stepActions(): List<FleetAction> = steps.values.flatMap { it.actions }
 
-        fun nextEdit(): FleetEdit? =
-            steps.values.firstNotNullOfOrNull { it.edit }
-                ?: putBack()
+        fun stepEdit(): FleetEdit? = steps.values.firstNotNullOfOrNull { it.edit }
+
+        fun planEdit(): FleetEdit? =
+            putBack()
                 ?: decisions.firstNotNullOfOrNull(::holdEdit)
                 ?: if (isListCurrent()) beginEdit() else forgetEdit()
 
