--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetRolloutCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetRolloutCommand.kt
@@ -38,7 +38,7 @@
     ) {
         val figures = FleetRollout(fleet, planner, withFailures, seed).run()
         val minutes = figures.rolloutMillis?.let { "%.0f".format(it / MILLIS_PER_MINUTE) } ?: "not ended"
-        val ratio = figures.rolloutMillis?.let { "%.2f".format(it.toDouble() / figures.lowerBoundMillis) } ?: "-"
+        val ratio = figures.rolloutMillis?.let { "%.3f".format(it.toDouble() / figures.lowerBoundMillis) } ?: "-"
         val hours = "%.1f | %.1f".format(figures.awayHours, figures.lentHours)
         println(
             "| ${fleet.name} | $withFailures | $name | $minutes | $ratio | ${figures.moves} | $hours | ${figures.mostAway} |",
