--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -17,6 +17,7 @@
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.fleet.FleetManager
 import org.verbenagauge.entry.fleet.ListRecorder
+import org.verbenagauge.entry.fleet.PoolDemand
 import org.verbenagauge.entry.fleet.fleetManager
 import org.verbenagauge.entry.listener.ListenerAddress
 import org.verbenagauge.entry.listener.TlsIdentity
@@ -41,6 +42,7 @@
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.Platform
+import org.verbenagauge.entry.state.QueueClass
 import org.verbenagauge.entry.state.entryState
 import org.verbenagauge.entry.state.httpPlatform
 
@@ -78,7 +80,7 @@
         entryState(settings, Platform(platform.table, platform.objects, instances), clock, log, ::publish)
 
     /** Drives waves and moves. */
-    public val fleet: FleetManager = fleetManager(settings, state, instances, clock, log)
+    public val fleet: FleetManager = fleetManager(settings, state, instances, ::demandOf, clock, log)
 
     private val account = entryAccount(settings.entry, state, clock, log)
 
@@ -216,6 +218,11 @@
             lastView,
             state.service.versionInForceEverywhere(),
             teamMeter.usage(clock.monotonicMillis()),
+
+    private fun demandOf(poolId: String) =
+        PoolDemand(
+            urgentWaiting = jobs.waitingOf(poolId, QueueClass.URGENT),
+            deferrableWaiting = jobs.waitingOf(poolId, QueueClass.DEFERRABLE),
         )
 
     private fun publish(view: FleetView) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -10,6 +10,7 @@
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.Rights
 import org.verbenagauge.entry.rights.noFleetService
+import org.verbenagauge.entry.state.QueueClass
 
 /**
  * Decides when a waiting request starts, on which endpoint, whether it is tried again, and what is refused,
@@ -56,6 +57,9 @@
     /** Number of waiting requests of [teamId]. */
     public fun waitingOf(teamId: String): Int = waiting.waitingOf(teamId)
 
+    /** Number of waiting requests of queues of [queueClass]. */
+    public fun waitingOf(queueClass: QueueClass): Int = waiting.waitingOf(queueClass)
+
     /** Returns what operators should see, once. */
     public fun takeNotices(): List<PlacementNotice> = endpoints.takeNotices()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.admission
 
+import org.verbenagauge.entry.state.QueueClass
 import java.util.EnumMap
 import java.util.PriorityQueue
 import java.util.TreeSet
@@ -38,6 +39,9 @@
     /** Number of waiting requests of [teamId]. */
     public fun waitingOf(teamId: String): Int = teams[teamId]?.size ?: 0
 
+    /** Number of waiting requests of queues of [queueClass]. */
+    public fun waitingOf(queueClass: QueueClass): Int = positions.values.count { it.waiting.queueClass == queueClass }
+
     /** Adds [waiting] with the weight of its team. */
     public fun add(
         waiting: Waiting,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
@@ -20,6 +20,7 @@
 import org.verbenagauge.entry.state.Configuration
 import org.verbenagauge.entry.state.Freshness
 import org.verbenagauge.entry.state.Queue
+import org.verbenagauge.entry.state.QueueClass
 import org.verbenagauge.entry.state.Team
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
@@ -67,6 +68,12 @@
     /** Requests that are waiting. */
     public val queuedCount: Int get() = pools.values.sumOf { it.queued }
 
+    /** Requests of queues of [queueClass] that wait for [poolId]. */
+    public fun waitingOf(
+        poolId: String,
+        queueClass: QueueClass,
+    ): Int = pools[poolId]?.waitingOf(queueClass) ?: 0
+
     /** Puts a new configuration and view of the endpoints in force. */
     public fun update(
         configuration: Configuration,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
@@ -6,6 +6,7 @@
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.placement.PlacementNotice
 import org.verbenagauge.entry.rights.Rights
+import org.verbenagauge.entry.state.QueueClass
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
@@ -24,6 +25,9 @@
     /** Number of waiting requests. */
     val queued: Int get() = lock.withLock { dispatcher.queued }
 
+    /** Number of waiting requests of queues of [queueClass]. */
+    fun waitingOf(queueClass: QueueClass): Int = lock.withLock { dispatcher.waitingOf(queueClass) }
+
     /** Submits [request]; the result says what to do with it. */
     fun submit(request: JobRequest): CompletableDeferred<DispatchAction> =
         decisionOf(request.id) { submit(request, clock.monotonicMillis()) }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetWiring.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetWiring.kt
@@ -10,6 +10,7 @@
     settings: EntrySettings,
     state: EntryState,
     instances: ListRecorder,
+    demand: DemandView,
     clock: Clock,
     log: EventLog,
 ): FleetManager =
@@ -24,5 +25,6 @@
             probe = httpHealthProbe(),
             clock = clock,
             log = log,
+            demand = demand,
         ),
     )
