--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetScenario.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetScenario.kt
@@ -12,7 +12,6 @@
 import org.verbenagauge.standin.fleet.VirtualPlatform
 
 private const val WORKERS_PER_RACK = 4
-private val spareBudget = AvailabilityBudget(maxAway = 2)
 
 /** Longest run of a request in every scenario. */
 internal const val MAX_RUN_MILLIS = 30_000L
@@ -24,6 +23,7 @@
  * @property poolSizes instances of each pool; the last pool is the spare.
  * @property zones availability zones.
  * @property budget budget of each pool.
+ * @property spareBudget budget of the spare pool.
  * @property stepMillis virtual time between two decisions.
  */
 internal class FleetScenario(
@@ -32,6 +32,7 @@
     private val zones: Int,
     private val budget: AvailabilityBudget,
     val stepMillis: Long,
+    private val spareBudget: AvailabilityBudget = budget,
 ) {
     /** Instances, four to a rack, with the pools spread over the racks. */
     fun instances(): List<VirtualInstance> =
@@ -90,7 +91,14 @@
             AvailabilityBudget(maxAway = 2),
             stepMillis = 2_000,
         ),
-        FleetScenario("no-budget", List(5) { 8 }, zones = 4, AvailabilityBudget(maxAway = 0), stepMillis = 2_000),
+        FleetScenario(
+            "no-budget",
+            List(5) { 8 },
+            zones = 4,
+            AvailabilityBudget(maxAway = 0),
+            stepMillis = 2_000,
+            spareBudget = AvailabilityBudget(maxAway = 2),
+        ),
         FleetScenario(
             "planned",
             List(36) { if (it < 12) 34 else 33 },
