--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -30,4 +30,6 @@
         AccountCostCommand(),
         AccountVerifyCommand(),
         PeersCommand(),
+        FleetRolloutCommand(),
+        FleetStepCommand(),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -17,6 +17,10 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.idempotency.entryClaims
+import org.verbenagauge.entry.fleet.FleetManager
+import org.verbenagauge.entry.fleet.ListRecorder
+import org.verbenagauge.entry.fleet.PoolDemand
+import org.verbenagauge.entry.fleet.fleetManager
 import org.verbenagauge.entry.listener.ListenerAddress
 import org.verbenagauge.entry.listener.TlsIdentity
 import org.verbenagauge.entry.listener.TlsOutcome
@@ -41,6 +45,7 @@
 import org.verbenagauge.entry.state.FleetView
 import org.verbenagauge.entry.state.InForceLog
 import org.verbenagauge.entry.state.Platform
+import org.verbenagauge.entry.state.QueueClass
 import org.verbenagauge.entry.state.entryState
 import org.verbenagauge.entry.state.httpPlatform
 
@@ -73,7 +78,12 @@
 
     @Volatile private var lastView = FleetView(ControlState(), emptyList())
 
-    private val state = entryState(settings, platform, clock, log, ::publish)
+    private val instances = ListRecorder(platform.instances, clock)
+    private val state =
+        entryState(settings, Platform(platform.table, platform.objects, instances), clock, log, ::publish)
+
+    /** Drives waves and moves. */
+    public val fleet: FleetManager = fleetManager(settings, state, instances, ::demandOf, clock, log)
 
     private val account = entryAccount(settings.entry, state, clock, log)
 
@@ -152,6 +162,7 @@
         rights.child?.let(supervisor::start)
         supervisor.start(claims.child)
         supervisor.start(AdmissionTicker(jobs))
+        supervisor.start(fleet)
         log.write(Event.ENTRY_STARTED, "entry '${settings.entry.id}' listens for callers on port ${callerPort()}")
     }
 
@@ -225,6 +236,11 @@
             lastView,
             state.service.versionInForceEverywhere(),
             teamMeter.usage(clock.monotonicMillis()),
+
+    private fun demandOf(poolId: String) =
+        PoolDemand(
+            urgentWaiting = jobs.waitingOf(poolId, QueueClass.URGENT),
+            deferrableWaiting = jobs.waitingOf(poolId, QueueClass.DEFERRABLE),
         )
 
     private fun publish(view: FleetView) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/FairQueue.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.admission
 
+import org.verbenagauge.entry.state.QueueClass
 import java.util.EnumMap
 import java.util.PriorityQueue
 import java.util.TreeSet
@@ -37,6 +38,9 @@
     /** Teams that have requests here now, with the number of them. */
     public val waitingByTeam: Map<String, Int> get() = waitingTeams.associate { it.teamId to it.size }
 
+    /** Number of waiting requests of queues of [queueClass]. */
+    public fun waitingOf(queueClass: QueueClass): Int = positions.values.count { it.waiting.queueClass == queueClass }
+
     /** Adds [waiting] with the weight of its team. */
     public fun add(
         waiting: Waiting,
