Tell the sender of changes at once, measure the time in force, ask for the instance list by its tag

The instance list of 1,200 instances is asked for by its tag and compressed when it has changed, once a second instead of twice. verbenagauge members lists the members and lets an operator say that a process has ended.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -20,4 +20,5 @@
         PathThroughputCommand(),
         UrgentBurstCommand(),
         ShareNearnessCommand(),
+        PeersCommand(),
     )
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
@@ -18,6 +18,7 @@
         StatusCommand(),
         accountCommands(),
         AuditCommand(),
+        MembersCommand(),
     )
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     exitProcess(ExitCode.OK.number)
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.standin
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
@@ -28,8 +29,11 @@
 import org.verbenagauge.entry.state.Row
 import org.verbenagauge.entry.state.Transaction
 import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.sha256Hex
+import java.io.ByteArrayOutputStream
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentSkipListMap
+import java.util.zip.GZIPOutputStream
 
 /** Stand-in for the platform: table service, object store and instance list over HTTP, all in memory. */
 public class PlatformStandIn {
@@ -116,7 +120,7 @@
         get("/v1/instances") {
             call.whenUp {
                 val listed = instances.values.sortedBy { it.id }
-                call.respondJson(json.encodeToString(ListSerializer(ListedInstance.serializer()), listed))
+                call.respondTagged(json.encodeToString(ListSerializer(ListedInstance.serializer()), listed))
             }
         }
         post("/v1/instances/{id}/actions") {
@@ -152,6 +156,25 @@
         status: HttpStatusCode = HttpStatusCode.OK,
     ) = respondJson(json.encodeToString(ListSerializer(Row.serializer()), rows), status)
 
+    private suspend fun ApplicationCall.respondTagged(text: String) {
+        val tag = "\"${sha256Hex(text)}\""
+        response.headers.append(HttpHeaders.ETag, tag)
+        if (request.headers[HttpHeaders.IfNoneMatch] == tag) {
+            respond(HttpStatusCode.NotModified)
+        } else if (request.headers[HttpHeaders.AcceptEncoding] == "gzip") {
+            response.headers.append(HttpHeaders.ContentEncoding, "gzip")
+            respondBytes(gzip(text), ContentType.Application.Json)
+        } else {
+            respondJson(text)
+        }
+    }
+
+    private fun gzip(text: String): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        GZIPOutputStream(bytes).use { it.write(text.encodeToByteArray()) }
+        return bytes.toByteArray()
+    }
+
     private suspend fun ApplicationCall.respondJson(
         text: String,
         status: HttpStatusCode = HttpStatusCode.OK,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/EntrySettings.kt
@@ -76,13 +76,13 @@
  *
  * @property baseUrl address of the services.
  * @property timeoutMillis longest wait for one answer.
- * @property pollMillis interval between reads of changes and of the instance list.
+ * @property pollMillis interval between reads of the instance list.
  */
 @Serializable
 public data class PlatformSettings(
     val baseUrl: String,
     val timeoutMillis: Long = 1_000,
-    val pollMillis: Long = 500,
+    val pollMillis: Long = 1_000,
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceCore.kt
@@ -37,10 +37,10 @@
     private var awaitsStore = false
     private var wantedAtMillis: Long? = null
     private var servedGuestAtMillis: Long? = null
+    private val awaitingTell = LinkedHashSet<PeerId>()
     private var spreadVersion = 0L
     private var toldVersions = 0L to 0L
     private var wasMember = false
-    private var stopped = false
 
     /** Last accepted version that is known here. */
     val acceptedVersion: Long get() = tracker.acceptedVersion
@@ -51,7 +51,7 @@
     /** Last instant of the local monotonic clock at which this entry may act, or null for none. */
     val mayActUntilMillis: Long?
         get() {
-            if (stopped || isRemoved()) return null
+            if (isRemoved()) return null
             return confirmation.confirmedAtMillis?.let { it + limits.staleAfterMillis }
         }
 
@@ -61,11 +61,6 @@
     /** Whether this entry is one of the few that poll for the others. */
     fun isPoller(): Boolean = polls.isPoller(state.membership, reachable)
 
-    /** Ends the right of this entry to act, for good. */
-    fun stopActing() {
-        stopped = true
-    }
-
     /** Handles that this entry acts on [next] from now on. */
     fun hold(
         next: ControlState,
@@ -77,7 +72,7 @@
         val removed = isRemoved()
         wasMember = wasMember || localId in next.membership
         tracker.hold(next)
-        return if (removed) listOf(ForceAction.RenewIncarnation) else conclude(nowMillis)
+        return if (removed) listOf(ForceAction.RenewIncarnation) else conclude(nowMillis) + tellSenders(nowMillis)
     }
 
     /** Handles that a change of this entry has been stored as [version]: this entry spreads it. */
@@ -127,6 +122,7 @@
             is StateMessage.WantChanges -> listOf(ForceAction.SendChanges(from, message.afterVersion))
             is StateMessage.Changes -> {
                 wantedAtMillis = null
+                awaitingTell += from
                 listOf(ForceAction.Follow(message.encodedChanges)) + note(from, message.report, nowMillis)
             }
             is StateMessage.SnapshotPart -> emptyList()
@@ -191,6 +187,13 @@
         return listOf(ForceAction.Send(from, answer)) + note(from, question.report, nowMillis)
     }
 
+    // Whoever sent the changes learns at once that this entry acts on them.
+    private fun tellSenders(nowMillis: Long): List<ForceAction> {
+        val tells = awaitingTell.map { ForceAction.Send(it, StateMessage.Tell(report(nowMillis))) }
+        awaitingTell.clear()
+        return tells
+    }
+
     private fun confirmedAgeMillis(nowMillis: Long): Long? {
         val untilMillis = mayActUntilMillis ?: return null
         if (untilMillis < nowMillis || localId !in state.membership) return null
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/HttpPlatform.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/HttpPlatform.kt
@@ -21,8 +21,10 @@
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.Json
+import java.io.ByteArrayInputStream
 import java.io.IOException
 import java.net.ConnectException
+import java.util.zip.GZIPInputStream
 
 private val platformJson = Json { ignoreUnknownKeys = true }
 
@@ -173,15 +175,42 @@
         }
 }
 
+private class TaggedList(
+    val tag: String,
+    val instances: List<ListedInstance>,
+)
+
+// The list is large and changes seldom: it is asked for by its tag, and compressed when it has changed.
 private class HttpInstanceService(
     private val http: PlatformHttp,
 ) : InstanceService {
+    @Volatile private var last: TaggedList? = null
+
     override suspend fun list(): ReadOutcome<List<ListedInstance>> =
         http.read {
-            get("${http.baseUrl}/v1/instances")
-                .found { platformJson.decodeFromString(ListSerializer(ListedInstance.serializer()), it) }
+            val known = last
+            val response =
+                get("${http.baseUrl}/v1/instances") {
+                    header(HttpHeaders.AcceptEncoding, "gzip")
+                    if (known != null) header(HttpHeaders.IfNoneMatch, known.tag)
+                }
+            when {
+                known != null && response.status == HttpStatusCode.NotModified -> ReadOutcome.Found(known.instances)
+                response.status == HttpStatusCode.OK -> ReadOutcome.Found(remember(response))
+                else -> ReadOutcome.Unavailable("status ${response.status}")
+            }
         }
 
+    private suspend fun remember(response: HttpResponse): List<ListedInstance> {
+        val bytes = response.bodyAsBytes()
+        val plain = if (response.headers[HttpHeaders.ContentEncoding] == "gzip") gunzip(bytes) else bytes
+        val listed = platformJson.decodeFromString(ListSerializer(ListedInstance.serializer()), plain.decodeToString())
+        last = response.headers[HttpHeaders.ETag]?.let { TaggedList(it, listed) }
+        return listed
+    }
+
+    private fun gunzip(bytes: ByteArray) = GZIPInputStream(ByteArrayInputStream(bytes)).use { it.readBytes() }
+
     override suspend fun act(
         instanceId: String,
         action: InstanceAction,
