Renew an incarnation that was removed before it learned that it had joined

An entry whose join and removal came to it together took itself for a guest under the removed incarnation, and could have joined again under it. The history now remembers every member that it has passed. The oracle checks that no removed incarnation acts, and half of the schedules remove silent members after 1 s, since no promise rests on that.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeHistory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeHistory.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.serialization.SerializationException
+import org.verbenagauge.entry.peers.PeerId
 
 private const val MAX_KEPT_CHARS = 2 * 1_024 * 1_024
 private const val MAX_KNOWN_OPERATIONS = 4_096
@@ -24,11 +25,24 @@
     ) : FollowOutcome
 }
 
+/**
+ * State of a [ChangeHistory] as it concerns one entry.
+ *
+ * @property state state after the last change.
+ * @property wasMember whether the entry has been a member, or may have been in between.
+ */
+internal class HeldState(
+    val state: ControlState,
+    val wasMember: Boolean,
+)
+
 /** Changes that this process has followed: the state they lead to, and the latest of them in encoded form. */
 internal class ChangeHistory {
     private val current = MutableStateFlow(ControlState())
     private val encodedChanges = ArrayDeque<String>()
     private val versionByOperation = LinkedHashMap<String, Long>()
+    private val pastMembers = HashSet<PeerId>()
+    private val candidates = HashSet<PeerId>()
     private var keptChars = 0
 
     /** State after the last change; its version only rises. */
@@ -38,6 +52,16 @@
     @Synchronized
     fun versionOf(operationId: String): Long? = versionByOperation[operationId]
 
+    /** Returns the state as it concerns the entry [id]. */
+    @Synchronized
+    fun heldBy(id: PeerId): HeldState = HeldState(current.value, id in pastMembers)
+
+    /** Notes that [id] may become a member by a change that is not followed by itself. */
+    @Synchronized
+    fun mayJoin(id: PeerId) {
+        candidates += id
+    }
+
     /** Applies the change [encoded] when it is the next one. */
     @Synchronized
     fun follow(encoded: String): FollowOutcome {
@@ -63,6 +87,8 @@
     @Synchronized
     fun load(snapshot: ControlState) {
         if (snapshot.version <= current.value.version) return
+        if (snapshot.membership.startVersion > current.value.version) pastMembers += candidates
+        pastMembers += snapshot.membership.ids + snapshot.membership.past.flatMap { it.ids }
         encodedChanges.clear()
         keptChars = 0
         current.value = snapshot
@@ -98,6 +124,7 @@
                 FollowOutcome.Broken("change ${change.version} cannot be applied: ${applied.problems.first()}")
             is ApplyOutcome.Applied -> {
                 keep(change, encoded)
+                if (change.edit is MembershipEdit) pastMembers += applied.state.membership.ids
                 current.value = applied.state
                 FollowOutcome.Followed
             }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceCore.kt
@@ -61,16 +61,17 @@
     /** Whether this entry is one of the few that poll for the others. */
     fun isPoller(): Boolean = polls.isPoller(state.membership, reachable)
 
-    /** Handles that this entry acts on [next] from now on. */
+    /** Handles that this entry acts on [next] from now on; [hasBeenMember] up to then, even if only in between. */
     fun hold(
         next: ControlState,
+        hasBeenMember: Boolean,
         nowMillis: Long,
     ): List<ForceAction> {
         if (next.version <= state.version) return emptyList()
         state = next
         wantedAtMillis = null
+        wasMember = wasMember || hasBeenMember
         val removed = isRemoved()
-        wasMember = wasMember || localId in next.membership
         tracker.hold(next)
         return if (removed) listOf(ForceAction.RenewIncarnation) else conclude(nowMillis) + tellSenders(nowMillis)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateCore.kt
@@ -66,15 +66,16 @@
         local = member
         force = ForceCore(member.id, role, limits, random)
         planner = MembershipPlanner(limits, random)
-        force.hold(published, nowMillis)
+        force.hold(published, hasBeenMember = false, nowMillis)
     }
 
     // The parts of this entry act on a version before it counts as held.
     private fun publish(nowMillis: Long): List<StateAction> {
-        val state = history.state.value
-        if (state.version <= published.version) return emptyList()
-        published = state
-        return listOf(StateAction.Publish(state)) + perform(force.hold(state, nowMillis), nowMillis)
+        val held = history.heldBy(local.id)
+        if (held.state.version <= published.version) return emptyList()
+        published = held.state
+        return listOf(StateAction.Publish(published)) +
+            perform(force.hold(published, held.wasMember, nowMillis), nowMillis)
     }
 
     private fun received(
@@ -102,6 +103,7 @@
         val view = MembershipView(local, published.membership, tick.reachable, acceptedVersion, isPoller)
         val edit = planner.plan(view, nowMillis) ?: return emptyList()
         proposing = true
+        if (edit is MembershipEdit.Join) history.mayJoin(local.id)
         return listOf(StateAction.Propose(edit))
     }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimEntry.kt
@@ -6,7 +6,6 @@
 import org.verbenagauge.entry.state.ChangeLog
 import org.verbenagauge.entry.state.ControlState
 import org.verbenagauge.entry.state.Edit
-import org.verbenagauge.entry.state.ForceLimits
 import org.verbenagauge.entry.state.ForceRole
 import org.verbenagauge.entry.state.Member
 import org.verbenagauge.entry.state.MembershipEdit
@@ -41,7 +40,7 @@
     var id = PeerId(entryId, random.nextLong())
         private set
 
-    private val core = StateCore(member(), ForceRole.PEER, ForceLimits(), random, changes.history)
+    private val core = StateCore(member(), ForceRole.PEER, fleet.limits, random, changes.history)
 
     /** State that this entry acts on. */
     var published = ControlState()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFleet.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFleet.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
+import org.verbenagauge.entry.state.ForceLimits
 import org.verbenagauge.fake.FakeRows
 import kotlin.random.Random
 
@@ -12,6 +13,9 @@
     private val storeMillis: () -> Long = { random.nextLong(2, 15) },
 ) {
     val scheduler = SimScheduler()
+
+    /** Bounds of all entries; no promise rests on how soon a silent member is removed. */
+    val limits = ForceLimits(silentMemberMillis = if (random.nextBoolean()) 10_000 else 1_000)
     val faults = SimFaults()
     val rows = FakeRows()
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimOracle.kt
@@ -18,6 +18,7 @@
     private val lastVersion = HashMap<SimEntry, Long>()
     private val hashByVersion = HashMap<Long, String>()
     private val outcomes = LinkedHashMap<String, ProposeOutcome>()
+    private val joinVersions = HashMap<PeerId, Long>()
     private val accepted = ArrayDeque<Accepted>()
     private var acceptedVersion = 0L
     private var bindingVersion = 0L
@@ -43,6 +44,9 @@
     }
 
     private fun checkActing(entry: SimEntry) {
+        val joined = joinVersions[entry.id] ?: Long.MAX_VALUE
+        val removed = entry.published.version > joined && entry.id !in entry.published.membership
+        if (removed) fail(entry, "acts although it knows that it was removed")
         val version = entry.published.version
         if (version < bindingVersion) fail(entry, "acts on $version, but $bindingVersion was accepted too long ago")
         if (version < inForceVersion) fail(entry, "acts on $version, but $inForceVersion is in force everywhere")
@@ -92,6 +96,8 @@
         val version = entry.published.version
         val known = lastVersion.put(entry, version)
         if (known == version) return
+        entry.published.membership.ids
+            .forEach { joinVersions.merge(it, version, ::minOf) }
         if (known != null && version < known) fail(entry, "went back from $known to $version")
         val hash = hashByVersion.getOrPut(version) { entry.published.lastHash }
         if (hash != entry.published.lastHash) fail(entry, "holds another version $version than others")
