--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -32,4 +32,5 @@
         PeersCommand(),
         FleetRolloutCommand(),
         FleetStepCommand(),
+        PeersCommand(),
     )
