--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -218,6 +218,7 @@
             lastView,
             state.service.versionInForceEverywhere(),
             teamMeter.usage(clock.monotonicMillis()),
+        )
 
     private fun demandOf(poolId: String) =
         PoolDemand(
