--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -16,11 +16,11 @@
 import org.verbenagauge.entry.caller.callerListener
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.clock.systemClock
-import org.verbenagauge.entry.idempotency.entryClaims
 import org.verbenagauge.entry.fleet.FleetManager
 import org.verbenagauge.entry.fleet.ListRecorder
 import org.verbenagauge.entry.fleet.PoolDemand
 import org.verbenagauge.entry.fleet.fleetManager
+import org.verbenagauge.entry.idempotency.entryClaims
 import org.verbenagauge.entry.listener.ListenerAddress
 import org.verbenagauge.entry.listener.TlsIdentity
 import org.verbenagauge.entry.listener.TlsOutcome
