--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -17,7 +17,7 @@
 
 // One line each, so that measurements can be added side by side.
 @OptIn(ExperimentalCli::class)
-private fun measurements(): Array<Subcommand> =
+internal fun measurements(): Array<Subcommand> =
     arrayOf(
         PathLatencyCommand(),
         PathThroughputCommand(),
@@ -32,5 +32,4 @@
         PeersCommand(),
         FleetRolloutCommand(),
         FleetStepCommand(),
-        PeersCommand(),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -24,7 +24,7 @@
     private val poolId: String,
     private val rights: Rights,
     private val maxQueued: Int,
-    private val fleetService: FleetService = noFleetService,
+    fleetService: FleetService = noFleetService,
     seed: Long = 0,
 ) {
     private val waiting = FairQueue()
@@ -35,7 +35,7 @@
     private val held = HeldRights(rights)
     private val requests = HashMap<Long, RequestState>()
     private val runningByTeam = HashMap<String, Int>()
-    private var startedElsewhereByTeam = emptyMap<String, Long>()
+    private val elsewhere = ServiceElsewhere(poolId, fleetService)
     private val runningStates = LinkedHashSet<RequestState>()
     private var stopByMillis: Long? = null
 
@@ -335,13 +335,9 @@
         }
     }
 
-    // Counts from when a team began to wait here: before that it has no claim that the service could lessen.
     private fun chargeServiceElsewhere() {
-        val known = startedElsewhereByTeam
-        startedElsewhereByTeam = waiting.waitingByTeam.keys.associateWith { fleetService.startedElsewhere(poolId, it) }
-        for ((teamId, total) in startedElsewhereByTeam) {
-            val more = total - (known[teamId] ?: total)
-            if (more > 0) waiting.charge(teamId, more * runTimes.meanOfAllMillis)
+        for ((teamId, starts) in elsewhere.newStarts(waiting.waitingByTeam.keys)) {
+            waiting.charge(teamId, starts * runTimes.meanOfAllMillis)
         }
     }
 
