--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -318,10 +318,8 @@
         return null
     }
 
-    private fun conclude(state: RequestState): DispatchAction {
-        requests.remove(state.request.id)
-        return DispatchAction.Deliver(state.request.id)
-    }
+    private fun conclude(state: RequestState): DispatchAction =
+        DispatchAction.Deliver(state.request.id).also { requests.remove(it.id) }
 
     // A run that takes longer than expected is charged while it goes on; else a team of unknown run time could take
     // all slots before its first request has ended.
