--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/AdmissionTicker.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/AdmissionTicker.kt
@@ -3,8 +3,7 @@
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.Child
 
-private const val BUSY_TICK_MILLIS = 20L
-private const val IDLE_TICK_MILLIS = 100L
+private const val TICK_MILLIS = 20L
 
 /** Makes the job service refuse in time what has waited too long. */
 internal class AdmissionTicker(
@@ -15,7 +14,7 @@
     override suspend fun run() {
         while (true) {
             jobs.tick()
-            delay(if (jobs.heldCount > 0) BUSY_TICK_MILLIS else IDLE_TICK_MILLIS)
+            delay(TICK_MILLIS)
         }
     }
 }
