Drive waves of maintenance; count leases of earlier owners at a takeover

Ruled out: an empty listing (workers list their runs in full).

Change: the first listing in an epoch counts with the longest lease that workers grant; no start of inherited jobs before the list of workers is read; runs of unknown jobs block their worker. Waves: machines are emptied, taken down and reported.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -61,6 +61,7 @@
     RUN_ENDED,
     RUN_LOST,
     RUN_STUCK,
+    WORKER_HEARD,
     WORKER_AVOIDED,
     WORKER_GONE,
     WORKER_RESTARTED,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineLimits.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineLimits.kt
@@ -4,6 +4,7 @@
  * Times of the job engine.
  *
  * @property leaseMillis lease of a run, from the last renewal; at most what workers grant.
+ * @property longestLeaseMillis longest lease that workers grant, whoever asked for it.
  * @property stopRepeatMillis interval at which an order to stop is repeated until the run is gone.
  * @property standstillMillis time without progress after which a run counts as stuck.
  * @property startupMillis longest time that a lasting task takes until it works.
@@ -12,6 +13,7 @@
  */
 public data class EngineLimits(
     val leaseMillis: Long = 5_000,
+    val longestLeaseMillis: Long = 6_000,
     val stopRepeatMillis: Long = 700,
     val standstillMillis: Long = 2_500,
     val startupMillis: Long = 3_000,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -11,7 +11,13 @@
     val jobs = HashMap<String, JobEntry>()
     val workers = HashMap<String, WorkerEntry>()
     val quota = QuotaLedger()
+
+    /** Workers whose machine was taken down by order, until the platform's list drops them. */
+    val endedWorkers = HashSet<String>()
     var configuration: JobsConfiguration? = null
+
+    /** Whether the platform's list of workers was read in this epoch. */
+    var isListKnown = false
     private val actions = ArrayList<EngineAction>()
     private val changes = LinkedHashMap<String, JobChange?>()
     private val endings = HashMap<String, JobChange>()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -79,6 +79,7 @@
         now: Long,
     ) {
         val known = state.workers[listed.address.workerId]
+        if (listed.address.workerId in state.endedWorkers) return
         if (known == null) {
             state.workers[listed.address.workerId] = WorkerEntry(listed, now)
             state.act(EngineAction.Watch(listed.address))
@@ -112,11 +113,21 @@
         workerId: String,
         now: Long,
     ) {
+        state.endedWorkers -= workerId
         val worker = state.workers[workerId] ?: return
         worker.isListed = false
         if (worker.runs.isEmpty()) drop(worker, "it is not listed any more", now)
     }
 
+    /** Takes note that [workerId] was taken down by order: nothing runs there any more. */
+    fun ended(
+        workerId: String,
+        now: Long,
+    ) {
+        state.workers[workerId]?.let { drop(it, "its machine was taken down", now) }
+        state.endedWorkers += workerId
+    }
+
     private fun drop(
         worker: WorkerEntry,
         reason: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -23,12 +23,18 @@
         val queue = state.configuration?.queue(record.queueName) ?: removedQueue(record.queueName)
         val job = JobEntry(id, record, queue, acceptedAtMillis, isInherited)
         state.jobs[id] = job
-        state.note(NoteKind.JOB_TAKEN, id, "queue '${queue.name}', inherited $isInherited")
+        state.note(NoteKind.JOB_TAKEN, id, "queue '${queue.name}', inherited $isInherited, ${describe(record)}")
         if (progress != null) restore(job, progress, now)
         if (!record.specification.isScheduled) open(job, 0, now)
         endIfDone(job)
     }
 
+    private fun describe(record: JobRecord): String =
+        record.specification.steps.joinToString(prefix = "steps ") { step ->
+            val kind = listOfNotNull("lasting".takeIf { step.isLasting }, "filler".takeIf { step.isFiller })
+            "${step.taskCount}x${step.amount.cpuMillis}m/${step.estimatedMillis}ms$kind"
+        }
+
     private fun restore(
         job: JobEntry,
         progress: ProgressRecord,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -22,7 +22,13 @@
         now: Long,
     ) {
         if (worker.bornUnixMillis != listing.bornUnixMillis) begin(worker, listing, now)
-        worker.isHeard = true
+        if (!worker.isHeard) {
+            worker.isHeard = true
+            // Earlier owners may have renewed the lease up to now.
+            worker.leaseUntilWorkerMillis = listing.clockMillis + state.limits.longestLeaseMillis
+            val lists = "${listing.running.size} runs and ${listing.ended.size} ends listed"
+            state.note(NoteKind.WORKER_HEARD, worker.id, "epoch ${state.epoch}, born ${listing.bornUnixMillis}, $lists")
+        }
         worker.readClock(listing.clockMillis, now)
         listing.ended.sortedBy { it.number }.forEach { end ->
             if (end.number > worker.seenEnd) {
@@ -143,7 +149,9 @@
                 ?.record
                 ?.teamName
                 .orEmpty()
-        val run = Run(listed.taskId, listed.runId, worker.id, specification.amount, team, specification, now)
+        // What a run of an unknown job takes is not known: nothing else fits beside it.
+        val amount = if (task == null) worker.listed.capacity else specification.amount
+        val run = Run(listed.taskId, listed.runId, worker.id, amount, team, specification, now)
         val isWanted = task != null && task.run == null && task.phase != TaskPhase.DONE
         runs.add(run, task.takeIf { isWanted }, worker)
         update(run, listed, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -46,9 +46,9 @@
         service: String,
         now: Long,
     ): Boolean {
-        val boundMillis = (state.limits.leaseMillis / SLOWEST_CLOCK).toLong() + state.limits.clockMarginMillis
+        val boundMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK).toLong() + state.limits.clockMarginMillis
         if (now - state.startedAtMillis > boundMillis) return true
-        return state.workers.values.none { it.listed.serviceName == service && !it.isHeard }
+        return state.isListKnown && state.workers.values.none { it.listed.serviceName == service && !it.isHeard }
     }
 
     private inner class StepPass(
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
@@ -0,0 +1,38 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import kotlinx.serialization.Serializable
+import org.verbenagauge.entry.jobs.model.MaintenanceWave
+
+/**
+ * What is stored of a wave.
+ *
+ * @property doneMachineIds machines whose maintenance has begun.
+ * @property isCompleted whether the wave was reported as completed.
+ */
+@Serializable
+public data class WaveRecord(
+    val doneMachineIds: List<String> = emptyList(),
+    val isCompleted: Boolean = false,
+)
+
+/** A wave and how far it is, as the owner keeps it. */
+internal class WaveProgress(
+    val wave: MaintenanceWave,
+    record: WaveRecord,
+    val seenAtMillis: Long,
+) {
+    val done = HashSet(record.doneMachineIds)
+    var isCompleted = record.isCompleted
+
+    /** Machines that are being emptied, with the time at which that began. */
+    val emptyingSinceMillis = HashMap<String, Long>()
+
+    /** Machines that were ordered down, with the time of the first order. */
+    val orderedAtMillis = HashMap<String, Long>()
+
+    /** Orders that have no answer yet. */
+    val inFlight = HashSet<String>()
+
+    /** Returns what has to be stored. */
+    fun record() = WaveRecord(done.sorted(), isCompleted)
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -0,0 +1,171 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.LastingGuard
+import org.verbenagauge.entry.jobs.model.MaintenanceWave
+import org.verbenagauge.entry.jobs.ports.Machine
+import org.verbenagauge.entry.jobs.ports.MachineGateway
+import org.verbenagauge.entry.jobs.ports.MachineOutcome
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.TransactionOutcome
+import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+
+/** Where the state of a wave is shown to the operator. */
+internal fun interface WaveReports {
+    /** Returns the change that shows whether [wave] is completed. */
+    fun change(
+        wave: MaintenanceWave,
+        isCompleted: Boolean,
+    ): RowChange
+}
+
+/**
+ * What waves need beside the engine.
+ *
+ * @property machines machines of the platform.
+ * @property store rows.
+ * @property reports where states are shown.
+ * @property waves waves that the operator asks for, as known now.
+ */
+internal class WavePorts(
+    val machines: MachineGateway,
+    val store: RowStore,
+    val reports: WaveReports,
+    val waves: () -> Collection<MaintenanceWave>,
+)
+
+/** Drives the waves of one owner's term. */
+internal class WaveRunner(
+    private val ports: WavePorts,
+    private val engine: JobEngine,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val mayOrder: () -> Boolean,
+    private val onFenced: (String) -> Unit,
+) {
+    private val progressByWave = HashMap<Long, WaveProgress>()
+    private val steps = WaveSteps(engine.state, LastingGuard(engine.state))
+    private var machines: List<Machine> = emptyList()
+    private var readAtMillis = Long.MIN_VALUE / 2
+
+    /** Runs until cancelled. */
+    suspend fun run(): Unit =
+        coroutineScope {
+            while (true) {
+                delay(TICK_MILLIS)
+                val active = ports.waves().mapNotNull { progress(it) }.filter { !it.isCompleted }
+                if (active.isEmpty() || !mayOrder()) continue
+                if (clock.monotonicMillis() - readAtMillis > READ_MILLIS) read()
+                if (clock.monotonicMillis() - readAtMillis > STALE_MILLIS) continue
+                active.forEach { step(this, it) }
+            }
+        }
+
+    private suspend fun read() {
+        val startedMillis = clock.monotonicMillis()
+        val listed = ports.machines.list() ?: return
+        machines = listed
+        readAtMillis = startedMillis
+    }
+
+    private suspend fun step(
+        scope: CoroutineScope,
+        progress: WaveProgress,
+    ) {
+        val step = steps.next(progress, machines, readAtMillis, clock.monotonicMillis())
+        step.order.forEach { machine ->
+            progress.inFlight += machine.machineId
+            progress.orderedAtMillis.putIfAbsent(machine.machineId, clock.monotonicMillis())
+            scope.launch { order(progress, machine) }
+        }
+        if (step.isFinished && progress.inFlight.isEmpty()) complete(progress)
+    }
+
+    private suspend fun order(
+        progress: WaveProgress,
+        machine: Machine,
+    ) {
+        val outcome = ports.machines.maintain(machine.machineId, progress.wave.number, engine.state.epoch)
+        log.write(Event.WAVE_STEP, "${machine.machineId}: wave ${progress.wave.number}, worker ${machine.workerId}: $outcome")
+        when (outcome) {
+            is MachineOutcome.Done -> {
+                progress.emptyingSinceMillis.remove(machine.machineId)
+                progress.done += machine.machineId
+                progress.orderedAtMillis[machine.machineId] = clock.monotonicMillis()
+                machine.workerId?.let { engine.ended(it, clock.monotonicMillis()) }
+                store(progress)
+            }
+
+            is MachineOutcome.Fenced -> onFenced("machine '${machine.machineId}'")
+            is MachineOutcome.Rejected -> {
+                progress.done += machine.machineId
+                progress.orderedAtMillis.remove(machine.machineId)
+                release(progress, machine)
+            }
+
+            is MachineOutcome.Busy, is MachineOutcome.TryLater -> {
+                progress.orderedAtMillis.remove(machine.machineId)
+                release(progress, machine)
+            }
+
+            is MachineOutcome.Unanswered -> delay(TICK_MILLIS)
+        }
+        progress.inFlight -= machine.machineId
+    }
+
+    private fun release(
+        progress: WaveProgress,
+        machine: Machine,
+    ) {
+        progress.emptyingSinceMillis.remove(machine.machineId)
+        machine.workerId?.let { engine.state.workers[it] }?.isReserved = false
+    }
+
+    private suspend fun complete(progress: WaveProgress) {
+        progress.isCompleted = true
+        if (!store(progress)) progress.isCompleted = false
+    }
+
+    private suspend fun store(progress: WaveProgress): Boolean {
+        val record = RecordCodec.encode(WaveRecord.serializer(), progress.record())
+        val changes =
+            listOf(
+                RowChange(WAVE_TABLE, progress.wave.number.toString(), record),
+                ports.reports.change(progress.wave, progress.isCompleted),
+            )
+        val outcome = ports.store.transact(emptyList(), changes, STORE_TIMEOUT_MILLIS)
+        val text = "wave ${progress.wave.number}: ${progress.done.size} of ${progress.wave.machineIds.size}"
+        log.write(Event.WAVE_REPORTED, "$text, completed ${progress.isCompleted}: $outcome")
+        return outcome is TransactionOutcome.Applied
+    }
+
+    private suspend fun progress(wave: MaintenanceWave): WaveProgress? {
+        progressByWave[wave.number]?.let { return it }
+        val read = ports.store.read(WAVE_TABLE, wave.number.toString(), STORE_TIMEOUT_MILLIS)
+        if (read !is ReadResult.Read) return null
+        val record = read.value?.value?.let { RecordCodec.decode(WaveRecord.serializer(), it) } ?: WaveRecord()
+        val progress = WaveProgress(wave, record, clock.monotonicMillis())
+        progressByWave[wave.number] = progress
+        if (!progress.isCompleted) store(progress)
+        return progress
+    }
+
+    private companion object {
+        const val WAVE_TABLE = "waves"
+        const val TICK_MILLIS = 100L
+
+        // The platform allows some dozens of reads a second for all.
+        const val READ_MILLIS = 500L
+        const val STALE_MILLIS = 2_500L
+        const val STORE_TIMEOUT_MILLIS = 700L
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -0,0 +1,141 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import org.verbenagauge.entry.jobs.engine.EngineState
+import org.verbenagauge.entry.jobs.engine.LastingGuard
+import org.verbenagauge.entry.jobs.engine.WorkerEntry
+import org.verbenagauge.entry.jobs.ports.Machine
+
+/**
+ * What to do next in a wave.
+ *
+ * @property order machines to take down now.
+ * @property isFinished whether every machine that stays has begun its maintenance.
+ */
+internal data class WaveStep(
+    val order: List<Machine>,
+    val isFinished: Boolean,
+)
+
+/**
+ * Empties machines and takes them down, as many at once as the wave allows, fewest lasting tasks first; part of a pool
+ * stays in service. A pure decision.
+ */
+internal class WaveSteps(
+    private val state: EngineState,
+    private val guard: LastingGuard,
+) {
+    /** Decides on [progress] with the [machines] of the platform, read at [readAtMillis]. */
+    fun next(
+        progress: WaveProgress,
+        machines: List<Machine>,
+        readAtMillis: Long,
+        now: Long,
+    ): WaveStep {
+        val byId = machines.associateBy { it.machineId }
+        val open = progress.wave.machineIds.filter { it !in progress.done && it in byId }
+        val down = down(progress, byId, readAtMillis)
+        empty(progress, open.mapNotNull(byId::get), down, now)
+        val order = ArrayList<Machine>()
+        val ending = HashSet<String>()
+        progress.emptyingSinceMillis.keys.toList().forEach { id ->
+            val machine = byId[id]
+            val worker = machine?.workerId?.let { state.workers[it] }
+            if (machine == null || worker == null || !machine.isUp) {
+                release(progress, id, worker)
+                return@forEach
+            }
+            if (id in progress.inFlight || down.size + order.size >= progress.wave.maxAtOnce && id !in down) return@forEach
+            if (isEmptied(worker, progress, id, now) && guard.mayEnd(worker, ending)) {
+                order += machine
+                ending += worker.id
+            }
+        }
+        val room = progress.wave.maxAtOnce - down.size - order.size
+        order += idle(open, progress, byId).take(maxOf(0, room))
+        return WaveStep(order, isFinished = open.isEmpty())
+    }
+
+    // Machines that run no worker, such as those on standby, need no emptying.
+    private fun idle(
+        open: List<String>,
+        progress: WaveProgress,
+        byId: Map<String, Machine>,
+    ): List<Machine> =
+        open
+            .filter { it !in progress.inFlight && it !in progress.orderedAtMillis }
+            .mapNotNull(byId::get)
+            .filter { it.isUp && it.workerId == null }
+
+    // Down from the first order until the list, read after it, shows the machine up again.
+    private fun down(
+        progress: WaveProgress,
+        byId: Map<String, Machine>,
+        readAtMillis: Long,
+    ): Set<String> {
+        progress.orderedAtMillis.entries.removeIf { (id, orderedAt) ->
+            val isBack = byId[id]?.isUp ?: true
+            id in progress.done && isBack && readAtMillis > orderedAt + SETTLE_MILLIS
+        }
+        return progress.orderedAtMillis.keys
+    }
+
+    private fun empty(
+        progress: WaveProgress,
+        open: List<Machine>,
+        down: Set<String>,
+        now: Long,
+    ) {
+        val candidates =
+            open
+                .filter { it.isUp && it.machineId !in progress.emptyingSinceMillis && it.machineId !in down }
+                .mapNotNull { machine -> machine.workerId?.let { state.workers[it] }?.let { machine to it } }
+                .filter { (_, worker) -> worker.takesWork }
+                .sortedBy { (_, worker) -> worker.runs.values.count { it.specification.isLasting } }
+        var room = progress.wave.maxAtOnce - down.size - progress.emptyingSinceMillis.size
+        candidates.forEach { (machine, worker) ->
+            if (room > 0 && poolAllows(worker)) {
+                worker.isReserved = true
+                progress.emptyingSinceMillis[machine.machineId] = now
+                room--
+            }
+        }
+    }
+
+    // At least half of a pool goes on taking work.
+    private fun poolAllows(worker: WorkerEntry): Boolean {
+        val pool = state.workers.values.filter { it.isListed && it.listed.serviceName == worker.listed.serviceName }
+        val away = pool.count { !it.takesWork }
+        return (away + 1) * POOL_SHARE <= pool.size
+    }
+
+    private fun isEmptied(
+        worker: WorkerEntry,
+        progress: WaveProgress,
+        machineId: String,
+        now: Long,
+    ): Boolean {
+        val isEmpty = worker.runs.values.none { !it.specification.isLasting }
+        val sinceMillis = now - progress.emptyingSinceMillis.getValue(machineId)
+        return isEmpty || sinceMillis > EMPTYING_MILLIS
+    }
+
+    private fun release(
+        progress: WaveProgress,
+        machineId: String,
+        worker: WorkerEntry?,
+    ) {
+        progress.emptyingSinceMillis.remove(machineId)
+        worker?.isReserved = false
+    }
+
+    private companion object {
+        // One in three may be away for planned work.
+        const val POOL_SHARE = 3
+
+        // Longer than most tasks take; what still runs then is lost.
+        const val EMPTYING_MILLIS = 3_500L
+
+        // The list may be some moments behind.
+        const val SETTLE_MILLIS = 500L
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -12,6 +12,7 @@
         NoteKind.RUN_ENDED -> Event.RUN_ENDED
         NoteKind.RUN_LOST -> Event.RUN_LOST
         NoteKind.RUN_STUCK -> Event.RUN_STUCK
+        NoteKind.WORKER_HEARD -> Event.WORKER_HEARD
         NoteKind.WORKER_AVOIDED -> Event.WORKER_AVOIDED
         NoteKind.WORKER_GONE -> Event.WORKER_GONE
         NoteKind.WORKER_RESTARTED -> Event.WORKER_RESTARTED
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -10,6 +10,8 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.EngineAction
 import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.fleet.WavePorts
+import org.verbenagauge.entry.jobs.fleet.WaveRunner
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.PlacementAdvisor
 import org.verbenagauge.entry.jobs.ports.RowStore
@@ -24,12 +26,14 @@
  * @property workers orders to workers.
  * @property advisor advice on placement, or null when there is none.
  * @property workerList reads the platform's list of workers.
+ * @property waves what waves of maintenance need, or null when there are no machines to manage.
  */
 internal class OwnerPorts(
     val store: RowStore,
     val workers: WorkerGateway,
     val advisor: PlacementAdvisor?,
     val workerList: WorkerList,
+    val waves: WavePorts?,
 )
 
 /** One term of one owner: the engine, the feeds that inform it and the drivers that carry out its actions. */
@@ -67,6 +71,7 @@
                     launch { WorkFollower(ports.store, engine, clock, ::wake).run() }
                     launch { WorkerFollower(ports.workerList, engine, clock, ::wake).run() }
                     launch { decideLoop(this) }
+                    ports.waves?.let { waves -> launch { waveRunner(waves).run() } }
                     launch {
                         val lost = writer.run { wake() }
                         ended.complete("row is held by '${lost.to?.entryId}', epoch ${lost.to?.epoch}")
@@ -79,6 +84,11 @@
             reason
         }
 
+    private fun waveRunner(waves: WavePorts) =
+        WaveRunner(waves, engine, clock, log, mayOrder = writer::isLeaseValid) { subject ->
+            ended.complete("$subject has seen a higher epoch than ${engine.state.epoch}")
+        }
+
     private suspend fun giveUp() {
         withTimeoutOrNull(RELEASE_MILLIS) {
             if (chain.isOpen && writer.settle() != null) return@withTimeoutOrNull
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerFollower.kt
@@ -32,6 +32,7 @@
         engine.state.workers.keys
             .filter { it !in listedIds }
             .forEach { engine.unlist(it, now) }
+        engine.state.isListKnown = true
         onChange()
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -61,6 +61,7 @@
     RUN_LOST(7022, Level.WARN),
     RUN_STUCK(7023, Level.WARN),
     WORKER_AVOIDED(7030, Level.WARN),
+    WORKER_HEARD(7033, Level.INFO),
     WORKER_GONE(7031, Level.INFO),
     WORKER_RESTARTED(7032, Level.WARN),
     SETTINGS_RELOADED(7040, Level.INFO),
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -21,7 +21,7 @@
 private const val DRAINING = "draining"
 
 // Racks are told among the labels of a worker, in the form r1-3.
-private val rackPattern = Regex("r\\d+-\\d+")
+internal val rackPattern = Regex("r\\d+-\\d+")
 
 /** Reads the operator's configuration; null when [value] is none. */
 internal fun readConfiguration(value: ByteArray): JobsConfiguration? {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -20,10 +20,12 @@
 import org.apache.logging.log4j.LogManager
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.fleet.WavePorts
 import org.verbenagauge.entry.jobs.front.JobCalls
 import org.verbenagauge.entry.jobs.front.JobFront
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.model.MaintenanceWave
 import org.verbenagauge.entry.jobs.owner.OwnerPorts
 import org.verbenagauge.entry.jobs.owner.OwnerSettings
 import org.verbenagauge.entry.jobs.owner.Ownership
@@ -44,6 +46,7 @@
     private val dispatcher = executor.asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val selector = SelectorManager(Dispatchers.IO)
+    private val waves = HashMap<String, MaintenanceWave>()
     private val store = PlatformStore(selector, address(settings.platform.store), clock)
     private val catalogue = StateCatalogue(store, clock)
     private val calls = JobCalls(JobFront(store, catalogue, clock), clock, log)
@@ -56,15 +59,20 @@
                     workers = PlatformWorkers(selector, clock),
                     advisor = null,
                     workerList = PlatformWorkerList(store),
+                    waves = parseHostPort(settings.platform.machines)?.let(::wavePorts),
                 ),
             catalogue = catalogue,
             clock = clock,
             settings = OwnerSettings(),
-            limits = EngineLimits(leaseMillis = minOf(EngineLimits().leaseMillis, settings.limits.leaseMaxMillis)),
+            limits =
+                EngineLimits(
+                    leaseMillis = minOf(EngineLimits().leaseMillis, settings.limits.leaseMaxMillis),
+                    longestLeaseMillis = settings.limits.leaseMaxMillis,
+                ),
             log = log,
             rank = { (settings.entry.id.hashCode() and Int.MAX_VALUE) % RANKS },
         )
-    private val documents = OperatorDocuments(store, ::configure, onWave = { _, _ -> })
+    private val documents = OperatorDocuments(store, ::configure, ::wave)
     private val callerServer = server(settings.listeners.caller) { clientRoutes(calls, dispatcher) }
     private val readinessServer = server(settings.listeners.readiness) { readiness() }
 
@@ -104,6 +112,22 @@
         log.write(Event.CONFIGURATION_IN_FORCE, "version ${newer.version} after $old, ${newer.queues.size} queues")
     }
 
+    private fun wave(
+        key: String,
+        value: ByteArray?,
+    ) {
+        val wave = value?.let { readWave(key, it) }
+        if (wave == null) waves.remove(key) else waves[key] = wave
+    }
+
+    private fun wavePorts(address: HostPort) =
+        WavePorts(
+            machines = PlatformMachines(settings.entry.id, selector, address, clock),
+            store = store,
+            reports = platformWaveReports,
+            waves = waves::values,
+        )
+
     private fun io.ktor.server.application.Application.readiness() {
         intercept(ApplicationCallPipeline.Call) {
             val status = if (isReady()) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
