Keep runs over a worker's restart and a cancel that comes first; test the engine against an oracle

Ruled out by the trace: ends lost by the store. - An order to take a machine down that was done before answers alike: the list now tells whether its worker is gone.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -81,3 +81,16 @@
     val state: JobState,
     val progress: ProgressRecord?,
 )
+
+/**
+ * Ends of one life of a worker that were taken in.
+ *
+ * @property workerId worker.
+ * @property bornUnixMillis life.
+ * @property number number of the last end.
+ */
+internal data class EndMark(
+    val workerId: String,
+    val bornUnixMillis: Long,
+    val number: Long,
+)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -56,10 +56,21 @@
         val change = JobChange(job.id, job.queue.name, job.state, progress = null)
         endings[job.id] = change
         endedIds += job.id
+        earlyCancellations -= job.id
         if (endedIds.size > REMEMBERED_ENDS) endedIds.remove(endedIds.first())
         changes[job.id] = change
     }
 
+    /** Jobs whose cancellation was read before the job itself. */
+    val earlyCancellations = LinkedHashSet<String>()
+
+    /** Takes note that [id] is cancelled although it is not known yet. */
+    fun cancelledEarly(id: String) {
+        if (hasEnded(id)) return
+        earlyCancellations += id
+        if (earlyCancellations.size > REMEMBERED_ENDS) earlyCancellations.remove(earlyCancellations.first())
+    }
+
     /** Whether the job [id] ended in this epoch. */
     fun hasEnded(id: String): Boolean = id in endedIds
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -73,6 +73,14 @@
         now: Long,
     ): Boolean = registry.cancel(id, now)
 
+    /** Orders [run] to stop, so that its task starts elsewhere. */
+    fun stop(
+        run: Run,
+        now: Long,
+    ) {
+        runs.stop(run, now)
+    }
+
     /** Takes in what the platform's list says of a worker. */
     fun list(
         listed: ListedWorker,
@@ -274,15 +282,16 @@
     }
 
     /** Takes note that all ends that were taken in up to the [marks] are stored. */
-    fun stored(marks: Map<String, Long>) {
-        marks.forEach { (workerId, number) ->
-            val worker = state.workers[workerId] ?: return@forEach
-            worker.storedEnd = maxOf(worker.storedEnd, number)
+    fun stored(marks: List<EndMark>) {
+        marks.forEach { mark ->
+            val worker = state.workers[mark.workerId] ?: return@forEach
+            // Numbers of ends begin anew with each life.
+            if (worker.bornUnixMillis == mark.bornUnixMillis) worker.storedEnd = maxOf(worker.storedEnd, mark.number)
         }
     }
 
     /** Returns the ends that were taken in, by worker. */
-    fun seenEnds(): Map<String, Long> = state.workers.values.associate { it.id to it.seenEnd }
+    fun seenEnds(): List<EndMark> = state.workers.values.map { EndMark(it.id, it.bornUnixMillis, it.seenEnd) }
 
     /** Decides what to do now; [unixMillis] is the time of day, for scheduled jobs only. */
     fun decide(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -27,6 +27,7 @@
         if (progress != null) restore(job, progress, now)
         if (!record.specification.isScheduled) open(job, 0, now)
         endIfDone(job)
+        if (id in state.earlyCancellations) cancel(id, now)
     }
 
     private fun describe(record: JobRecord): String =
@@ -152,12 +153,16 @@
         if (!task.step.specification.isLasting && task.failedRuns.size >= attempts) end(task.job, JobState.FAILED)
     }
 
-    /** Cancels the job [id]; false when it is not known. */
+    /** Cancels the job [id], now or when it comes; false when it is not known. */
     fun cancel(
         id: String,
         now: Long,
     ): Boolean {
-        val job = state.jobs[id] ?: return false
+        val job = state.jobs[id]
+        if (job == null) {
+            state.cancelledEarly(id)
+            return false
+        }
         end(job, JobState.CANCELLED)
         job.tasks().mapNotNull { it.run }.forEach { runs.stop(it, now) }
         return true
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
@@ -11,7 +11,7 @@
     ): Boolean =
         worker.runs.values
             .filter { it.specification.isLasting }
-            .all { mayEnd(it, alsoEnding) }
+            .all { mayEnd(it, alsoEnding + worker.id) }
 
     /** Whether [run] may end now. */
     fun mayEnd(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -21,11 +21,10 @@
         sentAtMillis: Long,
         now: Long,
     ) {
-        if (worker.bornUnixMillis != listing.bornUnixMillis) begin(worker, listing, now)
+        if (worker.bornUnixMillis != listing.bornUnixMillis) begin(worker, listing)
         if (!worker.isHeard) {
             worker.isHeard = true
-            // Earlier owners may have renewed the lease up to now.
-            worker.leaseUntilWorkerMillis = listing.clockMillis + state.limits.longestLeaseMillis
+            worker.leaseUntilWorkerMillis = longestLeaseEnd(listing)
             val lists = "${listing.running.size} runs and ${listing.ended.size} ends listed"
             state.note(NoteKind.WORKER_HEARD, worker.id, "epoch ${state.epoch}, born ${listing.bornUnixMillis}, $lists")
         }
@@ -40,24 +39,24 @@
         dropMissing(worker, listing, sentAtMillis, now)
     }
 
+    // Runs of the life before are missing from the listing; orders on their way may still reach the new one.
     private fun begin(
         worker: WorkerEntry,
         listing: WorkerListing,
-        now: Long,
     ) {
         if (worker.bornUnixMillis != 0L) {
-            state.note(NoteKind.WORKER_RESTARTED, worker.id, "${worker.runs.size} runs are gone")
-            worker.runs.values
-                .toList()
-                .forEach { runs.gone(it, now) }
+            state.note(NoteKind.WORKER_RESTARTED, worker.id, "${worker.runs.size} runs were known")
         }
         worker.bornUnixMillis = listing.bornUnixMillis
         worker.seenEnd = 0
         worker.storedEnd = 0
         worker.acknowledgedEnd = 0
-        worker.leaseUntilWorkerMillis = 0
+        worker.leaseUntilWorkerMillis = longestLeaseEnd(listing)
     }
 
+    // Orders that were sent before this life was known, or by earlier owners, may have granted leases.
+    private fun longestLeaseEnd(listing: WorkerListing): Long = listing.clockMillis + state.limits.longestLeaseMillis
+
     private fun ended(
         worker: WorkerEntry,
         end: ListedEnd,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
@@ -66,7 +66,8 @@
         return compareBy<WorkerEntry>(
             { step.dataRack.isNotEmpty() && it.listed.rack != step.dataRack },
             { racks.isNotEmpty() && it.listed.rack !in racks },
-        ).thenBy { if (step.isLasting) -it.free.cpuMillis else it.free.cpuMillis }
+        ).thenBy { if (step.isLasting) membersOn(task, it) else 0 }
+            .thenBy { if (step.isLasting) -it.free.cpuMillis else it.free.cpuMillis }
             .thenBy { it.id }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -82,6 +82,7 @@
         progress: WaveProgress,
     ) {
         val step = steps.next(progress, machines, readAtMillis, clock.monotonicMillis())
+        step.stop.forEach { engine.stop(it, clock.monotonicMillis()) }
         step.order.forEach { machine ->
             progress.inFlight += machine.machineId
             progress.orderedAtMillis.putIfAbsent(machine.machineId, clock.monotonicMillis())
@@ -95,13 +96,16 @@
         machine: Machine,
     ) {
         val outcome = ports.machines.maintain(machine.machineId, progress.wave.number, engine.state.epoch)
-        log.write(Event.WAVE_STEP, "${machine.machineId}: wave ${progress.wave.number}, worker ${machine.workerId}: $outcome")
+        log.write(
+            Event.WAVE_STEP,
+            "${machine.machineId}: wave ${progress.wave.number}, worker ${machine.workerId}: $outcome",
+        )
         when (outcome) {
             is MachineOutcome.Done -> {
                 progress.emptyingSinceMillis.remove(machine.machineId)
                 progress.done += machine.machineId
                 progress.orderedAtMillis[machine.machineId] = clock.monotonicMillis()
-                machine.workerId?.let { engine.ended(it, clock.monotonicMillis()) }
+                settle(progress, machine)
                 store(progress)
             }
 
@@ -122,6 +126,24 @@
         progress.inFlight -= machine.machineId
     }
 
+    // The platform answers alike when the maintenance was done before: only the list tells whether the worker is gone.
+    private suspend fun settle(
+        progress: WaveProgress,
+        machine: Machine,
+    ) {
+        val workerId = machine.workerId ?: return
+        repeat(SETTLE_READS) {
+            read()
+            val listed = machines.firstOrNull { it.machineId == machine.machineId }
+            if (listed == null || !listed.isUp || listed.workerId != workerId) {
+                engine.ended(workerId, clock.monotonicMillis())
+                return
+            }
+            delay(TICK_MILLIS)
+        }
+        release(progress, machine)
+    }
+
     private fun release(
         progress: WaveProgress,
         machine: Machine,
@@ -160,6 +182,7 @@
     }
 
     private companion object {
+        const val SETTLE_READS = 2
         const val WAVE_TABLE = "waves"
         const val TICK_MILLIS = 100L
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -2,6 +2,8 @@
 
 import org.verbenagauge.entry.jobs.engine.EngineState
 import org.verbenagauge.entry.jobs.engine.LastingGuard
+import org.verbenagauge.entry.jobs.engine.Run
+import org.verbenagauge.entry.jobs.engine.RunPhase
 import org.verbenagauge.entry.jobs.engine.WorkerEntry
 import org.verbenagauge.entry.jobs.ports.Machine
 
@@ -9,10 +11,12 @@
  * What to do next in a wave.
  *
  * @property order machines to take down now.
+ * @property stop lasting runs to stop before their machine goes, since others of their step run beside them.
  * @property isFinished whether every machine that stays has begun its maintenance.
  */
 internal data class WaveStep(
     val order: List<Machine>,
+    val stop: List<Run>,
     val isFinished: Boolean,
 )
 
@@ -36,6 +40,7 @@
         val down = down(progress, byId, readAtMillis)
         empty(progress, open.mapNotNull(byId::get), down, now)
         val order = ArrayList<Machine>()
+        val stop = ArrayList<Run>()
         val ending = HashSet<String>()
         progress.emptyingSinceMillis.keys.toList().forEach { id ->
             val machine = byId[id]
@@ -44,17 +49,37 @@
                 release(progress, id, worker)
                 return@forEach
             }
-            if (id in progress.inFlight || down.size + order.size >= progress.wave.maxAtOnce && id !in down) return@forEach
-            if (isEmptied(worker, progress, id, now) && guard.mayEnd(worker, ending)) {
+            if (id in progress.inFlight ||
+                down.size + order.size >= progress.wave.maxAtOnce &&
+                id !in down
+            ) {
+                return@forEach
+            }
+            if (!isEmptied(worker, progress, id, now)) return@forEach
+            if (guard.mayEnd(worker, ending)) {
                 order += machine
                 ending += worker.id
+            } else if (stop.isEmpty()) {
+                crowded(worker, ending)?.let { stop += it }
             }
         }
         val room = progress.wave.maxAtOnce - down.size - order.size
         order += idle(open, progress, byId).take(maxOf(0, room))
-        return WaveStep(order, isFinished = open.isEmpty())
+        return WaveStep(order, stop, isFinished = open.isEmpty())
     }
 
+    // A lasting run that may end now and has another task of its step beside it.
+    private fun crowded(
+        worker: WorkerEntry,
+        ending: Set<String>,
+    ): Run? =
+        worker.runs.values
+            .filter { it.specification.isLasting && it.phase == RunPhase.RUNNING }
+            .groupBy { it.taskId.jobId to it.taskId.step }
+            .values
+            .firstOrNull { it.size > 1 && guard.mayEnd(it.first(), ending) }
+            ?.first()
+
     // Machines that run no worker, such as those on standby, need no emptying.
     private fun idle(
         open: List<String>,
@@ -76,7 +101,9 @@
             val isBack = byId[id]?.isUp ?: true
             id in progress.done && isBack && readAtMillis > orderedAt + SETTLE_MILLIS
         }
-        return progress.orderedAtMillis.keys
+        // An earlier owner may have ordered some of them.
+        val listed = progress.wave.machineIds.filter { byId[it]?.isInMaintenance ?: false }
+        return progress.orderedAtMillis.keys + listed
     }
 
     private fun empty(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -61,7 +61,7 @@
 
     private suspend fun writeOnce(onStored: () -> Unit): ChainOutcome.Lost? {
         val changes = engine.state.takeChanges(MOST_JOBS)
-        val marks = if (engine.state.hasChanges) emptyMap() else engine.seenEnds()
+        val marks = if (engine.state.hasChanges) emptyList() else engine.seenEnds()
         val waiters = flushed
         if (marks.isNotEmpty()) flushed = CompletableDeferred()
         chain.begin(changes.flatMap(::rows), engine.pendingByQueue())
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/MachineGateway.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/MachineGateway.kt
@@ -6,7 +6,7 @@
  * @property machineId machine.
  * @property poolName pool that it belongs to.
  * @property isUp whether it runs a worker.
- * @property isDown whether it has failed.
+ * @property isInMaintenance whether it is down for maintenance.
  * @property rack rack, empty when not told.
  * @property workerId worker that runs on it, or null.
  */
@@ -14,7 +14,7 @@
     val machineId: String,
     val poolName: String,
     val isUp: Boolean,
-    val isDown: Boolean,
+    val isInMaintenance: Boolean,
     val rack: String,
     val workerId: String?,
 )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -50,7 +50,7 @@
             machineId = wire.machine,
             poolName = wire.pool,
             isUp = wire.state == "up",
-            isDown = wire.state == "down",
+            isInMaintenance = wire.state == "upkeep",
             rack = wire.labels.firstOrNull { rackPattern.matches(it) }.orEmpty(),
             workerId = wire.id?.ifEmpty { null },
         )
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -0,0 +1,109 @@
+package org.verbenagauge.entry.jobs.engine
+
+import org.verbenagauge.entry.jobs.model.Amount
+import org.verbenagauge.entry.jobs.model.JobSpecification
+import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.model.QueueConfiguration
+import org.verbenagauge.entry.jobs.model.ServiceConfiguration
+import org.verbenagauge.entry.jobs.model.StepSpecification
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.model.TeamConfiguration
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.ListedEnd
+import org.verbenagauge.entry.jobs.ports.ListedRun
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
+import org.verbenagauge.entry.jobs.ports.WorkerListing
+import org.verbenagauge.entry.jobs.records.JobRecord
+
+internal const val QUEUE = "tallies"
+internal const val SERVICE = "hall"
+internal const val TEAM = "buyers"
+internal const val BORN = 77L
+
+internal fun step(
+    taskCount: Int,
+    cpuMillis: Long = 1_000,
+    isLasting: Boolean = false,
+    dependsOn: List<Int> = emptyList(),
+    maxPerWorker: Int = 0,
+    isGang: Boolean = false,
+    mayMiss: Int? = null,
+) = StepSpecification(
+    taskCount = taskCount,
+    amount = Amount(cpuMillis = cpuMillis, memoryMegabytes = 10),
+    estimatedMillis = 500,
+    dependsOn = dependsOn,
+    isLasting = isLasting,
+    maxPerWorker = maxPerWorker,
+    isGang = isGang,
+    mayMiss = mayMiss,
+)
+
+internal fun job(vararg steps: StepSpecification) = JobRecord(QUEUE, TEAM, 0, JobSpecification("text", steps.toList()))
+
+internal fun configuration(
+    limit: Amount = Amount(),
+    maxAttempts: Int = 3,
+) = JobsConfiguration(
+    version = 1,
+    queues = listOf(QueueConfiguration(QUEUE, "host", "/q/", SERVICE, 0, maxAttempts, 2.0, 600, isOpen = false)),
+    services = mapOf(SERVICE to ServiceConfiguration(SERVICE, guardsRoom = false, isStandby = false)),
+    teams = mapOf(TEAM to TeamConfiguration(TEAM, emptySet(), 1.0, limit)),
+    maxBodyBytes = 1_000,
+)
+
+internal fun worker(
+    id: String,
+    cpuMillis: Long = 4_000,
+) = ListedWorker(
+    address = WorkerAddress(id, "127.0.0.1", 1),
+    serviceName = SERVICE,
+    zoneId = "z",
+    rack = "r1-1",
+    labels = setOf("a", "r1-1"),
+    capacity = Amount(cpuMillis, 100_000),
+    isReady = true,
+    bornUnixMillis = BORN,
+    machineId = "",
+)
+
+internal fun listing(
+    running: List<ListedRun> = emptyList(),
+    ended: List<ListedEnd> = emptyList(),
+    clockMillis: Long = 1_000,
+    bornUnixMillis: Long = BORN,
+) = ListingOutcome.Listed(WorkerListing(bornUnixMillis, clockMillis, running, ended))
+
+internal fun running(
+    taskId: TaskId,
+    runId: Long,
+    percent: Int = 10,
+) = ListedRun(taskId, runId, "", percent, 0)
+
+internal fun end(
+    number: Long,
+    taskId: TaskId,
+    runId: Long,
+    kind: EndKind,
+) = ListedEnd(number, taskId, runId, kind, "")
+
+internal fun List<EngineAction>.starts() = filterIsInstance<EngineAction.Start>()
+
+internal fun List<EngineAction>.stops() = filterIsInstance<EngineAction.Stop>()
+
+/** An engine whose [workerIds] have been listed and heard. */
+internal fun readyEngine(
+    vararg workerIds: String,
+    limit: Amount = Amount(),
+    epoch: Long = 1,
+): JobEngine {
+    val engine = JobEngine(epoch, EngineLimits(), now = 0)
+    engine.configure(configuration(limit))
+    engine.state.isListKnown = true
+    workerIds.forEach {
+        engine.list(worker(it), now = 0)
+        engine.listed(it, listing(), sentAtMillis = 0, now = 0)
+    }
+    return engine
+}
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineFuzzTest.kt
@@ -0,0 +1,38 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+
+private const val SEEDS = 150
+private const val TROUBLE_MILLIS = 20_000L
+private const val CALM_MILLIS = 60_000L
+
+// Lines about the task or worker that the violation names, and about workers and owners.
+private fun traceOf(
+    violation: String,
+    pool: VirtualPool,
+): String {
+    val subject = violation.substringAfter(": ").substringBefore(' ')
+    return pool.trace.filter { subject in it || "crashes" in it || "silent" in it || "gone" in it }.joinToString("\n")
+}
+
+class JobEngineFuzzTest :
+    FunSpec({
+        test("under lost, late and reordered answers, crashes and takeovers no rule is broken and every job ends") {
+            (1..SEEDS).forEach { seed ->
+                val pool = VirtualPool(seed)
+                val violations = pool.play(TROUBLE_MILLIS, CALM_MILLIS)
+                val failure =
+                    violations.firstOrNull() ?: pool.oracle
+                        .unfinished()
+                        .firstOrNull()
+                        ?.let { "never done: $it " }
+                failure?.let { println(traceOf(it, pool)) }
+                withClue("seed $seed") {
+                    violations.shouldBeEmpty()
+                    pool.oracle.unfinished().shouldBeEmpty()
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -0,0 +1,245 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.model.Amount
+import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.StartRefusal
+
+private const val JOB = "0000000000000001"
+
+private fun task(
+    index: Int,
+    step: Int = 0,
+) = TaskId(JOB, 0, step, index)
+
+private data class PlacementCase(
+    val name: String,
+    val workers: Int,
+    val tasks: Int,
+    val cpuMillis: Long,
+    val maxPerWorker: Int,
+    val limit: Amount,
+    val starts: Int,
+)
+
+private data class EndCase(
+    val kind: EndKind,
+    val restarts: Int,
+    val state: JobState?,
+)
+
+private data class RefusalCase(
+    val refusal: StartRefusal,
+    val isUncertain: Boolean,
+    val startsAgain: Boolean,
+)
+
+class JobEngineTest :
+    FunSpec({
+        context("starts what fits into room, spread and quota") {
+            withData(
+                nameFn = { it.name },
+                PlacementCase("all fit", 2, 4, 1_000, 0, Amount(), 4),
+                PlacementCase("room of the worker", 1, 6, 1_000, 0, Amount(), 4),
+                PlacementCase("too large for any worker", 2, 1, 5_000, 0, Amount(), 0),
+                PlacementCase("at most one of a step on a worker", 2, 4, 1_000, 1, Amount(), 2),
+                PlacementCase("limit of the team", 2, 6, 1_000, 0, Amount(cpuMillis = 3_000), 3),
+            ) { case ->
+                val ids = (1..case.workers).map { "w$it" }.toTypedArray()
+                val engine = readyEngine(*ids, limit = case.limit)
+                engine.accept(JOB, job(step(case.tasks, case.cpuMillis, maxPerWorker = case.maxPerWorker)), now = 0)
+                engine.decide(0, 0).starts() shouldHaveSize case.starts
+            }
+        }
+
+        context("an end of the only task") {
+            withData(
+                nameFn = { "${it.kind}" },
+                EndCase(EndKind.DONE, restarts = 0, state = JobState.COMPLETED),
+                EndCase(EndKind.FAILED, restarts = 1, state = JobState.ACTIVE),
+                EndCase(EndKind.LAPSED, restarts = 1, state = JobState.ACTIVE),
+                EndCase(EndKind.STOPPED, restarts = 1, state = JobState.ACTIVE),
+            ) { case ->
+                val engine = readyEngine("w1", "w2")
+                engine.accept(JOB, job(step(1)), now = 0)
+                val start = engine.decide(0, 0).starts().single()
+                val workerId = start.address.workerId
+                engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 10)
+                engine.listed(workerId, listing(ended = listOf(end(1, task(0), start.order.runId, case.kind))), 20, 30)
+                engine.decide(30, 0).starts() shouldHaveSize case.restarts
+                engine.state
+                    .takeChanges(10)
+                    .single()
+                    .state shouldBe case.state
+            }
+        }
+
+        context("a refused start") {
+            withData(
+                nameFn = { "$it" },
+                RefusalCase(StartRefusal.NO_ROOM, isUncertain = false, startsAgain = true),
+                RefusalCase(StartRefusal.NO_ROOM, isUncertain = true, startsAgain = false),
+                RefusalCase(StartRefusal.LEASE_PASSED, isUncertain = true, startsAgain = true),
+                RefusalCase(StartRefusal.OLD_RUN, isUncertain = true, startsAgain = false),
+            ) { case ->
+                val engine = readyEngine("w1")
+                engine.accept(JOB, job(step(1)), now = 0)
+                val start = engine.decide(0, 0).starts().single()
+                if (case.isUncertain) {
+                    engine.started("w1", start.order, OrderOutcome.Unanswered("lost"), now = 10)
+                    engine.decide(10, 0).starts().single() shouldBe start
+                }
+                engine.started("w1", start.order, OrderOutcome.Refused(case.refusal), now = 20)
+                engine.decide(20, 0).starts().isNotEmpty() shouldBe case.startsAgain
+            }
+        }
+
+        test("a step starts when all tasks that it depends on are done") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(2), step(1, dependsOn = listOf(0))), now = 0)
+            val starts = engine.decide(0, 0).starts()
+            starts.map { it.order.taskId.step }.toSet() shouldBe setOf(0)
+            starts.forEachIndexed { index, start ->
+                engine.started(start.address.workerId, start.order, OrderOutcome.Done(1_000), 5)
+                val id = start.address.workerId
+                val ended = listOf(end(index + 1L, start.order.taskId, start.order.runId, EndKind.DONE))
+                engine.listed(id, listing(ended = ended), 10, 20)
+                val opened = engine.decide(20, 0).starts().map { it.order.taskId.step }
+                opened shouldBe if (index == 1) listOf(1) else emptyList()
+            }
+        }
+
+        test("a gang starts with all members and one run number, or not at all") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(5, isGang = true)), now = 0)
+            engine.decide(0, 0).starts().shouldBeEmpty()
+            engine.list(worker("w2"), now = 10)
+            engine.listed("w2", listing(), 10, 10)
+            val starts = engine.decide(10, 0).starts()
+            starts shouldHaveSize 5
+            starts.map { it.order.runId }.toSet() shouldHaveSize 1
+        }
+
+        test("a run found at a takeover is kept, although this owner never renewed its lease") {
+            val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
+            engine.configure(configuration())
+            engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
+            engine.decide(0, 0).starts().shouldBeEmpty()
+            engine.list(worker("w1"), now = 5)
+            engine.state.isListKnown = true
+            engine.decide(5, 0).starts().shouldBeEmpty()
+            engine.listed("w1", listing(running = listOf(running(task(0), 7))), 6, 7)
+            engine.decide(8, 0).starts().shouldBeEmpty()
+        }
+
+        test("inherited jobs wait for the list of workers") {
+            val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
+            engine.configure(configuration())
+            engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
+            engine.list(worker("w1"), now = 5)
+            engine.listed("w1", listing(), 6, 7)
+            engine.decide(8, 0).starts().shouldBeEmpty()
+            engine.state.isListKnown = true
+            engine.decide(9, 0).starts() shouldHaveSize 1
+        }
+
+        test("inherited jobs wait for a silent worker until its leases have passed") {
+            val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
+            engine.configure(configuration())
+            engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
+            engine.list(worker("w1"), now = 0)
+            engine.list(worker("silent"), now = 0)
+            engine.state.isListKnown = true
+            engine.listed("w1", listing(), 1, 2)
+            engine.decide(6_000, 0).starts().shouldBeEmpty()
+            engine.decide(6_400, 0).starts() shouldHaveSize 1
+        }
+
+        test("a cancellation that is read before its job cancels it") {
+            val engine = readyEngine("w1")
+            engine.cancel(JOB, now = 0) shouldBe false
+            engine.accept(JOB, job(step(1)), now = 0)
+            engine.decide(0, 0).starts().shouldBeEmpty()
+            engine.state
+                .takeChanges(10)
+                .single()
+                .state shouldBe JobState.CANCELLED
+        }
+
+        test("a job that ended is not taken in again") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            engine.cancel(JOB, now = 0)
+            engine.accept(JOB, job(step(1)), now = 1)
+            engine.decide(1, 0).starts().shouldBeEmpty()
+        }
+
+        test("a silent worker's task starts elsewhere only after its lease has passed on the slowest clock") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
+            engine.list(worker("w2"), now = 20)
+            engine.listed("w2", listing(), 20, 20)
+            engine.listed("w1", ListingOutcome.Failed("silent"), 30, 600)
+            engine.decide(6_200, 0).starts().shouldBeEmpty()
+            engine
+                .decide(6_400, 0)
+                .starts()
+                .single()
+                .address.workerId shouldBe "w2"
+        }
+
+        test("ends are acknowledged only after they are stored") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
+            val ended = listOf(end(1, task(0), start.order.runId, EndKind.DONE))
+            engine.listed("w1", listing(ended = ended), 20, 30)
+            engine.renewal("w1", 100, isProven = true, now = 31)?.acknowledged shouldBe 0
+            engine.stored(engine.seenEnds())
+            engine.renewal("w1", 100, isProven = true, now = 32)?.acknowledged shouldBe 1
+        }
+
+        test("a connection that has not answered yet acknowledges nothing and renews nothing") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            engine.decide(0, 0)
+            val renewal = engine.renewal("w1", 100, isProven = false, now = 1)
+            renewal?.acknowledged shouldBe 0
+            renewal?.leaseUntilWorkerMillis shouldBe null
+            renewal?.waitMillis shouldBe 0
+        }
+
+        test("a worker that starts again under its id runs nothing of before") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
+            engine.listed("w1", listing(bornUnixMillis = BORN + 1), 20, 30)
+            val again = engine.decide(30, 0).starts().single()
+            (again.order.runId > start.order.runId) shouldBe true
+        }
+
+        test("no lasting step loses two tasks at once when both run on the machine that goes") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(2, isLasting = true, mayMiss = 1)), now = 0)
+            val starts = engine.decide(0, 0).starts()
+            starts.forEach { engine.started("w1", it.order, OrderOutcome.Done(1_000), now = 5) }
+            val runs = starts.map { running(it.order.taskId, it.order.runId, percent = 100) }
+            engine.listed("w1", listing(running = runs), 10, 20)
+            val worker = engine.state.workers.getValue("w1")
+            val guard = LastingGuard(engine.state)
+            guard.mayEnd(worker, emptySet()) shouldBe false
+            guard.mayEnd(worker.runs.values.first(), emptySet()) shouldBe true
+        }
+    })
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/RunOracle.kt
@@ -0,0 +1,121 @@
+package org.verbenagauge.entry.jobs.engine
+
+import org.verbenagauge.entry.jobs.model.Amount
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.ListedEnd
+import org.verbenagauge.entry.jobs.ports.StartOrder
+import org.verbenagauge.entry.jobs.records.JobRecord
+
+/** Says what must hold of all runs, from what workers see alone. */
+internal class RunOracle(
+    private val capacity: Amount,
+    private val teamLimit: Amount,
+) {
+    val violations = ArrayList<String>()
+    private val jobs = HashMap<String, JobRecord>()
+    private val cancelled = HashMap<String, Long>()
+    private val runningByWorker = HashMap<String, HashMap<TaskId, Long>>()
+    private val doneAtWorker = HashMap<Triple<String, Long, Long>, TaskId>()
+    private val doneTasks = HashSet<TaskId>()
+    private val acknowledgedDone = HashSet<TaskId>()
+
+    fun submitted(
+        id: String,
+        record: JobRecord,
+    ) {
+        jobs[id] = record
+    }
+
+    fun cancelled(
+        id: String,
+        now: Long,
+    ) {
+        cancelled.putIfAbsent(id, now)
+    }
+
+    fun isCancelled(id: String) = id in cancelled
+
+    fun started(
+        order: StartOrder,
+        workerId: String,
+        now: Long,
+    ) {
+        val id = order.taskId
+        val record = jobs[id.jobId]
+        if (record == null) {
+            violations += "$now: $id was never submitted"
+            return
+        }
+        if (runningByWorker.values.any { id in it }) violations += "$now: $id runs twice"
+        if (id in acknowledgedDone) violations += "$now: $id starts after its end was acknowledged"
+        val before = record.specification.steps[id.step].dependsOn
+        val open = before.flatMap { step -> tasksOf(id.jobId, record, step) }.filter { it !in doneTasks }
+        if (open.isNotEmpty()) violations += "$now: $id starts before $open"
+        val cancelledAt = cancelled[id.jobId]
+        if (cancelledAt != null &&
+            now > cancelledAt + CANCEL_MILLIS
+        ) {
+            violations += "$now: $id starts after its cancelling"
+        }
+        runningByWorker.getOrPut(workerId) { HashMap() }[id] = order.runId
+        checkRoom(workerId, now)
+    }
+
+    private fun checkRoom(
+        workerId: String,
+        now: Long,
+    ) {
+        val used = runningByWorker.getValue(workerId).keys.sumOf { cpu(it) }
+        if (used > capacity.cpuMillis) violations += "$now: $workerId has $used of ${capacity.cpuMillis}"
+        val all = runningByWorker.values.sumOf { runs -> runs.keys.sumOf { cpu(it) } }
+        if (teamLimit.cpuMillis in 1 until all) violations += "$now: team has $all of ${teamLimit.cpuMillis}"
+    }
+
+    private fun cpu(id: TaskId) =
+        jobs
+            .getValue(id.jobId)
+            .specification.steps[id.step]
+            .amount.cpuMillis
+
+    private fun tasksOf(
+        jobId: String,
+        record: JobRecord,
+        step: Int,
+    ) = List(record.specification.steps[step].taskCount) { TaskId(jobId, 0, step, it) }
+
+    fun gone(order: StartOrder) {
+        runningByWorker.values.forEach { it.remove(order.taskId, order.runId) }
+    }
+
+    fun done(
+        id: TaskId,
+        workerId: String,
+        life: Long,
+        number: Long,
+    ) {
+        doneTasks += id
+        doneAtWorker[Triple(workerId, life, number)] = id
+    }
+
+    fun acknowledged(
+        end: ListedEnd,
+        workerId: String,
+        life: Long,
+    ) {
+        if (end.kind == EndKind.DONE) doneAtWorker[Triple(workerId, life, end.number)]?.let { acknowledgedDone += it }
+    }
+
+    /** Tasks of jobs that are neither cancelled nor done. */
+    fun unfinished(): List<TaskId> =
+        jobs
+            .filterKeys { it !in cancelled }
+            .flatMap { (id, record) ->
+                record.specification.steps.indices
+                    .flatMap { tasksOf(id, record, it) }
+            }.filter { it !in doneTasks }
+
+    private companion object {
+        const val CANCEL_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -0,0 +1,264 @@
+package org.verbenagauge.entry.jobs.engine
+
+import org.verbenagauge.entry.jobs.model.Amount
+import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.records.JobRecord
+import org.verbenagauge.entry.jobs.records.ProgressRecord
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+private const val WORKERS = 4
+private const val WORKER_CPU_MILLIS = 4_000L
+private const val TEAM_CPU_MILLIS = 12_000L
+private const val TAKEOVER_GAP_MILLIS = 2_800L
+
+/**
+ * Plays one seed of the engine against virtual workers in virtual time: answers are lost, orders come late and out of
+ * order, workers crash and fall silent, owners change with a stale store of ends.
+ */
+internal class VirtualPool(
+    seed: Int,
+) {
+    private class Event(
+        val atMillis: Long,
+        val number: Long,
+        val action: () -> Unit,
+    )
+
+    private val random = Random(seed)
+    private val queue = PriorityQueue<Event>(compareBy<Event> { it.atMillis }.thenBy { it.number })
+    private var eventCounter = 0L
+    private var now = 0L
+    val oracle = RunOracle(Amount(WORKER_CPU_MILLIS, 100_000), Amount(cpuMillis = TEAM_CPU_MILLIS))
+    private val workers =
+        List(
+            WORKERS,
+        ) { VirtualWorker("w$it", clockRate = 0.98 + random.nextDouble() * 0.02, oracle) }.associateBy { it.id }
+    private val silentUntilMillis = HashMap<String, Long>()
+    private var hasTrouble = true
+
+    // What the store holds.
+    private val storedJobs = LinkedHashMap<String, JobRecord>()
+    private val storedProgress = HashMap<String, ProgressRecord>()
+    private val storedCancels = LinkedHashSet<String>()
+    val states = HashMap<String, JobState>()
+
+    private var epoch = 0L
+    private var engine: JobEngine? = null
+
+    /** What happened, for a failed seed. */
+    val trace = ArrayList<String>()
+
+    private fun at(
+        delayMillis: Long,
+        action: () -> Unit,
+    ) {
+        queue += Event(now + delayMillis, eventCounter++, action)
+    }
+
+    /** Plays [troubleMillis] with trouble, then [calmMillis] without; returns what was violated. */
+    fun play(
+        troubleMillis: Long,
+        calmMillis: Long,
+    ): List<String> {
+        takeOver()
+        repeat(JOBS) { number -> at(random.nextLong(troubleMillis * 3 / 4)) { submit(number) } }
+        repeat(TAKEOVERS) { at(random.nextLong(troubleMillis)) { loseOwner() } }
+        repeat(CRASHES) { at(random.nextLong(troubleMillis)) { crash(workers.values.random(random)) } }
+        repeat(SILENCES) { at(random.nextLong(troubleMillis)) { silence(workers.values.random(random)) } }
+        at(troubleMillis) { hasTrouble = false }
+        at(0, ::advanceWorkers)
+        while (queue.isNotEmpty() && queue.peek().atMillis <= troubleMillis + calmMillis) {
+            val event = queue.poll()
+            now = event.atMillis
+            event.action()
+        }
+        return oracle.violations
+    }
+
+    private fun advanceWorkers() {
+        workers.values.forEach { it.advance(now) }
+        at(20, ::advanceWorkers)
+    }
+
+    private fun crash(worker: VirtualWorker) {
+        trace += "$now ${worker.id} crashes"
+        worker.crash(now)
+    }
+
+    private fun silence(worker: VirtualWorker) {
+        silentUntilMillis[worker.id] = now + random.nextLong(500, 9_000)
+        trace += "$now ${worker.id} is silent until ${silentUntilMillis[worker.id]}"
+    }
+
+    private fun isSilent(worker: VirtualWorker) = now < (silentUntilMillis[worker.id] ?: 0)
+
+    private fun submit(number: Int) {
+        val id = "job-$number"
+        val first = step(random.nextInt(1, 5), random.nextLong(500, 2_500))
+        val second = step(random.nextInt(1, 4), random.nextLong(500, 2_500), dependsOn = listOf(0))
+        val record = if (random.nextBoolean()) job(first) else job(first, second)
+        storedJobs[id] = record
+        oracle.submitted(id, record)
+        at(5) { engine?.let { it.accept(id, record, now) } }
+        if (random.nextInt(6) == 0) at(random.nextLong(2_000)) { cancel(id) }
+    }
+
+    private fun cancel(id: String) {
+        storedCancels += id
+        oracle.cancelled(id, now)
+        at(5) { engine?.cancel(id, now) }
+    }
+
+    private fun loseOwner() {
+        trace += "$now owner is gone"
+        engine = null
+        at(TAKEOVER_GAP_MILLIS, ::takeOver)
+    }
+
+    private fun takeOver() {
+        if (engine != null) return
+        val next = JobEngine(++epoch, EngineLimits(), now)
+        engine = next
+        next.configure(configuration(Amount(cpuMillis = TEAM_CPU_MILLIS), maxAttempts = MANY_ATTEMPTS))
+        storedJobs.forEach { (id, record) ->
+            if (states[id]?.isFinal !=
+                true
+            ) {
+                next.inherit(id, record, storedProgress[id], now, now)
+            }
+        }
+        storedCancels.forEach { next.cancel(it, now) }
+        at(random.nextLong(1, 200)) { listWorkers(next) }
+        at(0) { tick(next) }
+        at(0) { write(next) }
+    }
+
+    private fun listWorkers(owner: JobEngine) {
+        workers.values.forEach { owner.list(worker(it.id, WORKER_CPU_MILLIS).copy(bornUnixMillis = 0), now) }
+        owner.state.isListKnown = true
+        workers.values.forEach { renew(owner, it, isProven = false) }
+    }
+
+    private fun tick(owner: JobEngine) {
+        if (owner !== engine) return
+        owner.decide(now, 0).forEach { execute(owner, it) }
+        at(random.nextLong(5, 60)) { tick(owner) }
+    }
+
+    private fun renew(
+        owner: JobEngine,
+        worker: VirtualWorker,
+        isProven: Boolean,
+        life: Long = worker.bornUnixMillis,
+    ) {
+        if (owner !== engine) return
+        val sentAtMillis = now
+        val renewal = owner.renewal(worker.id, 0, isProven, now)
+        if (renewal == null) {
+            at(100) { renew(owner, worker, isProven, life) }
+            return
+        }
+        at(delay()) {
+            // A connection to an earlier life is reset.
+            val isCut = isSilent(worker) || worker.bornUnixMillis != life
+            val outcome = if (isCut) null else worker.list(renewal, now)
+            if (outcome == null || isLost()) {
+                at(700) {
+                    owner.listed(worker.id, ListingOutcome.Failed("lost"), sentAtMillis, now)
+                    renew(owner, worker, isProven = false)
+                }
+            } else {
+                at(delay()) {
+                    trace += "$now epoch ${owner.state.epoch}: ${worker.id} sent at $sentAtMillis lists $outcome"
+                    owner.listed(worker.id, outcome, sentAtMillis, now)
+                    at(random.nextLong(10, 400)) { renew(owner, worker, isProven = true, life) }
+                }
+            }
+        }
+    }
+
+    private fun execute(
+        owner: JobEngine,
+        action: EngineAction,
+    ) {
+        trace += "$now epoch ${owner.state.epoch}: $action"
+        when (action) {
+            is EngineAction.Start -> start(owner, action)
+            is EngineAction.Stop -> stop(owner, action)
+            else -> Unit
+        }
+    }
+
+    private fun start(
+        owner: JobEngine,
+        action: EngineAction.Start,
+    ) {
+        val worker = workers.getValue(action.address.workerId)
+        val durationMillis = random.nextLong(200, 1_500)
+        val fails = random.nextInt(20) == 0
+        val isLate = hasTrouble && random.nextInt(12) == 0
+        val life = worker.bornUnixMillis
+        val isAnswerLost = isLate || isLost()
+        at(if (isLate) random.nextLong(2_000, 12_000) else delay()) {
+            // An order on its way is lost with the life of the worker that it was sent to.
+            val isCut = isSilent(worker) || worker.bornUnixMillis != life
+            val outcome = if (isCut) null else worker.start(action.order, durationMillis, fails, now)
+            when {
+                isLate -> Unit
+                outcome == null || isAnswerLost -> at(580) { unanswered(owner, action) }
+                else -> at(delay()) { owner.started(worker.id, action.order, outcome, now) }
+            }
+        }
+        if (isLate) at(580) { unanswered(owner, action) }
+    }
+
+    private fun unanswered(
+        owner: JobEngine,
+        action: EngineAction.Start,
+    ) {
+        owner.started(action.address.workerId, action.order, OrderOutcome.Unanswered("lost"), now)
+    }
+
+    private fun stop(
+        owner: JobEngine,
+        action: EngineAction.Stop,
+    ) {
+        val worker = workers.getValue(action.address.workerId)
+        at(delay()) {
+            if (isSilent(worker)) return@at
+            val outcome = worker.stop(action.taskId, action.runId, owner.state.epoch, now)
+            if (!isLost()) at(delay()) { owner.stopped(worker.id, action.taskId, action.runId, outcome, now) }
+        }
+    }
+
+    private fun write(owner: JobEngine) {
+        if (owner !== engine) return
+        val changes = owner.state.takeChanges(1_000)
+        val marks = owner.seenEnds()
+        at(random.nextLong(3, 200)) {
+            if (owner === engine) {
+                changes.forEach { change ->
+                    states[change.jobId] = change.state
+                    change.progress?.let { storedProgress[change.jobId] = it }
+                }
+                owner.stored(marks)
+                at(20) { write(owner) }
+            }
+        }
+    }
+
+    private fun delay() = if (hasTrouble && random.nextInt(10) == 0) random.nextLong(50, 400) else random.nextLong(1, 5)
+
+    private fun isLost() = hasTrouble && random.nextInt(15) == 0
+
+    private companion object {
+        const val JOBS = 30
+        const val TAKEOVERS = 4
+        const val CRASHES = 4
+        const val SILENCES = 5
+        const val MANY_ATTEMPTS = 1_000
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualWorker.kt
@@ -0,0 +1,129 @@
+package org.verbenagauge.entry.jobs.engine
+
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.ListedEnd
+import org.verbenagauge.entry.jobs.ports.ListedRun
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.Renewal
+import org.verbenagauge.entry.jobs.ports.StartOrder
+import org.verbenagauge.entry.jobs.ports.StartRefusal
+import org.verbenagauge.entry.jobs.ports.WorkerListing
+
+/** A worker of the fuzz, as the published protocol describes one. */
+internal class VirtualWorker(
+    val id: String,
+    private val clockRate: Double,
+    private val oracle: RunOracle,
+) {
+    private class Running(
+        val order: StartOrder,
+        val startedAtMillis: Long,
+        val durationMillis: Long,
+        val fails: Boolean,
+    )
+
+    private val running = HashMap<TaskId, Running>()
+    private val ends = ArrayList<ListedEnd>()
+    private val highestGoneRun = HashMap<TaskId, Long>()
+    private var endCounter = 0L
+    private var highestToken = 0L
+    private var leaseUntilMillis = 0L
+    var bornUnixMillis = 1L
+        private set
+    private var bornAtMillis = 0L
+
+    /** Clock of this life. */
+    fun clock(now: Long): Long = ((now - bornAtMillis) * clockRate).toLong()
+
+    /** Ends everything and starts a new life under the same id. */
+    fun crash(now: Long) {
+        running.values.forEach { oracle.gone(it.order) }
+        running.clear()
+        ends.clear()
+        highestGoneRun.clear()
+        endCounter = 0
+        highestToken = 0
+        leaseUntilMillis = 0
+        bornUnixMillis++
+        bornAtMillis = now
+    }
+
+    /** Lets time pass up to [now]. */
+    fun advance(now: Long) {
+        if (clock(now) > leaseUntilMillis) running.values.toList().forEach { finish(it, EndKind.LAPSED) }
+        running.values.filter { now - it.startedAtMillis >= it.durationMillis }.forEach {
+            finish(it, if (it.fails) EndKind.FAILED else EndKind.DONE)
+        }
+    }
+
+    private fun finish(
+        run: Running,
+        kind: EndKind,
+    ) {
+        running.remove(run.order.taskId)
+        highestGoneRun.merge(run.order.taskId, run.order.runId, ::maxOf)
+        ends += ListedEnd(++endCounter, run.order.taskId, run.order.runId, kind, "")
+        oracle.gone(run.order)
+        if (kind == EndKind.DONE) oracle.done(run.order.taskId, id, bornUnixMillis, endCounter)
+    }
+
+    fun start(
+        order: StartOrder,
+        durationMillis: Long,
+        fails: Boolean,
+        now: Long,
+    ): OrderOutcome {
+        advance(now)
+        val known = running[order.taskId]
+        val refusal =
+            when {
+                order.fencingToken < highestToken -> StartRefusal.FENCED
+                known?.order?.runId == order.runId -> null
+                order.runId <= (highestGoneRun[order.taskId] ?: 0) -> StartRefusal.OLD_RUN
+                order.leaseUntilWorkerMillis <= clock(now) -> StartRefusal.LEASE_PASSED
+                else -> null
+            }
+        highestToken = maxOf(highestToken, order.fencingToken)
+        if (refusal != null) return OrderOutcome.Refused(refusal)
+        leaseUntilMillis = maxOf(leaseUntilMillis, order.leaseUntilWorkerMillis)
+        if (known?.order?.runId != order.runId) {
+            running[order.taskId] = Running(order, now, durationMillis, fails)
+            oracle.started(order, id, now)
+        }
+        return OrderOutcome.Done(clock(now))
+    }
+
+    fun stop(
+        taskId: TaskId,
+        runId: Long,
+        token: Long,
+        now: Long,
+    ): OrderOutcome {
+        advance(now)
+        if (token < highestToken) return OrderOutcome.Refused(StartRefusal.FENCED)
+        highestToken = token
+        highestGoneRun.merge(taskId, runId, ::maxOf)
+        running[taskId]?.takeIf { it.order.runId == runId }?.let { finish(it, EndKind.STOPPED) }
+        return OrderOutcome.Done(clock(now))
+    }
+
+    fun list(
+        renewal: Renewal,
+        now: Long,
+    ): ListingOutcome {
+        advance(now)
+        if (renewal.fencingToken < highestToken) return ListingOutcome.Refused(StartRefusal.FENCED)
+        highestToken = renewal.fencingToken
+        renewal.leaseUntilWorkerMillis?.let { leaseUntilMillis = maxOf(leaseUntilMillis, it) }
+        ends.filter { it.number <= renewal.acknowledged }.forEach { oracle.acknowledged(it, id, bornUnixMillis) }
+        ends.removeIf { it.number <= renewal.acknowledged }
+        val runs =
+            running.values.map {
+                val percent = (100 * (now - it.startedAtMillis) / it.durationMillis).toInt()
+                ListedRun(it.order.taskId, it.order.runId, "", percent, 0)
+            }
+        return ListingOutcome.Listed(WorkerListing(bornUnixMillis, clock(now), runs, ends.toList()))
+    }
+}
