Let machines follow the turns of demand between pools and standby

Cause: each queue in its turn asks up to twice what its pool holds for eight seconds while the other pools stand idle. Ruled out: better packing alone (the pool in its turn was full at the peak, the others at a twentieth).

Change: a sizer follows the highest demand of the last three seconds; machines without a run move to pools that lack room, from standby first, and idle ones go to standby.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 
 /** Everything that the parts of the engine share. */
@@ -12,6 +13,9 @@
     val workers = HashMap<String, WorkerEntry>()
     val quota = QuotaLedger()
 
+    /** What waits for room on workers of each service and for nothing else, as of the last decision. */
+    val wantedByService = HashMap<String, Amount>()
+
     /** Workers whose machine was taken down by order, until the platform's list drops them. */
     val endedWorkers = HashSet<String>()
     var configuration: JobsConfiguration? = null
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
@@ -11,8 +11,8 @@
 }
 
 /**
- * Packs short tasks tightly, so that room for large ones stays, and spreads lasting ones; prefers the rack that holds
- * the data and, for steps that want one rack, the rack where the step already runs.
+ * Packs short tasks tightly, so that room for large ones stays, and lasting ones on few workers, so that the others can
+ * move; prefers the rack that holds the data and, for steps that want one rack, the rack where the step already runs.
  */
 internal class PackingPlacement : Placement {
     override fun choose(
@@ -66,8 +66,8 @@
         return compareBy<WorkerEntry>(
             { step.dataRack.isNotEmpty() && it.listed.rack != step.dataRack },
             { racks.isNotEmpty() && it.listed.rack !in racks },
-        ).thenBy { if (step.isLasting) membersOn(task, it) else 0 }
-            .thenBy { if (step.isLasting) -it.free.cpuMillis else it.free.cpuMillis }
+        ).thenBy { step.isLasting && it.runs.values.none { run -> run.specification.isLasting } }
+            .thenBy { it.free.cpuMillis }
             .thenBy { it.id }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -20,8 +20,9 @@
                 .filter { it.takesWork }
                 .groupBy { it.listed.serviceName }
         val jobsByService = state.jobs.values.groupBy { it.queue.serviceName }
+        state.wantedByService.clear()
         jobsByService.forEach { (service, jobs) ->
-            val workers = workersByService[service] ?: return@forEach
+            val workers = workersByService[service].orEmpty()
             val isSettled = isSettled(service, now)
             val open = jobs.filter { (isSettled || !it.isInherited) && it.hasReadyTask() }
             order.sorted(open, now).forEach { job ->
@@ -65,26 +66,35 @@
             val ready = step.tasks.filter { it.phase == TaskPhase.READY }
             if (ready.isEmpty()) return
             val allowed = if (job.queue.advice == null) workers else advised() ?: return
-            if (specification.isGang) startGang(ready, allowed) else ready.all { start(it, allowed, null) }
+            val started =
+                if (specification.isGang) startGang(ready, allowed) else ready.indexOfFirst { !start(it, allowed) }
+            if (started >= 0) want(ready.size - started)
+        }
+
+        // Notes room that is missing; a team at its limit misses none.
+        private fun want(tasks: Int) {
+            if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return
+            val room = if (specification.isFiller) specification.amount.copy(cpuMillis = 0) else specification.amount
+            val sum = (1..tasks).fold(Amount()) { total, _ -> total + room }
+            state.wantedByService.merge(job.queue.serviceName, sum, Amount::plus)
         }
 
         private fun start(
             task: TaskEntry,
             candidates: List<WorkerEntry>,
-            runId: Long?,
         ): Boolean {
             if (!state.quota.allows(job.record.teamName, task.amount, limit)) return false
             val worker = placement.choose(task, candidates, now) ?: return false
-            order(task, worker, runId ?: state.nextRunId())
+            order(task, worker, state.nextRunId())
             return true
         }
 
-        // All members or none: placed one by one, and taken back when one finds no room.
+        // All members or none: placed one by one, and taken back when one finds no room. Returns -1 when they start.
         private fun startGang(
             ready: List<TaskEntry>,
             candidates: List<WorkerEntry>,
-        ) {
-            if (ready.size < step.tasks.size) return
+        ): Int {
+            if (ready.size < step.tasks.size) return NONE_MISSING
             val runId = state.nextRunId()
             val tentative = ArrayList<Run>()
             val checkpoint = ready.maxOf { it.checkpoint }
@@ -105,10 +115,11 @@
                 }
             if (!fits) {
                 tentative.forEach { runs.gone(it, now) }
-                return
+                return 0
             }
             ready.forEach { it.checkpoint = checkpoint }
             tentative.forEach { send(it, ready.first { task -> task.id == it.taskId }) }
+            return NONE_MISSING
         }
 
         private fun order(
@@ -173,6 +184,7 @@
     }
 
     private companion object {
+        const val NONE_MISSING = -1
         const val ADVICE_REPEAT_MILLIS = 2_000L
 
         // The advisor's answer takes longer with each worker named.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBook.kt
@@ -60,8 +60,11 @@
     var avoidUntilMillis = 0L
     var failStreak = 0
 
-    /** Whether it is kept free for maintenance or a move. */
-    var isReserved = false
+    /** Planned work for which it is kept free, such as a wave of maintenance or a move. */
+    val reservations = HashSet<String>()
+
+    /** Whether it is kept free for planned work. */
+    val isReserved: Boolean get() = reservations.isNotEmpty()
 
     private var clockMillis = 0L
     private var clockReadAtMillis = 0L
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -0,0 +1,117 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import org.verbenagauge.entry.jobs.engine.EngineState
+import org.verbenagauge.entry.jobs.engine.WorkerEntry
+import org.verbenagauge.entry.jobs.model.Amount
+import org.verbenagauge.entry.jobs.ports.Machine
+
+/**
+ * Move of a machine to another pool.
+ *
+ * @property machine machine.
+ * @property poolName pool that it joins.
+ */
+internal data class PoolMove(
+    val machine: Machine,
+    val poolName: String,
+)
+
+/**
+ * Brings machines to pools that need more, from standby first and then from idle pools, and sends idle ones to standby.
+ * Only machines without any run move. A pure decision.
+ */
+internal class MovePlanner(
+    private val state: EngineState,
+    private val sizer: PoolSizer,
+) {
+    /**
+     * Decides on the [machines] of the platform; [underway] are moves that were ordered and cannot be seen yet, and
+     * [barred] pairs of kind and pool that the platform refused.
+     */
+    fun next(
+        machines: List<Machine>,
+        underway: Collection<PoolMove>,
+        barred: Set<Pair<String, String>>,
+        now: Long,
+    ): List<PoolMove> {
+        val configuration = state.configuration ?: return emptyList()
+        // Pools look empty while their workers have not answered.
+        if (state.workers.values.any { !it.isHeard } && now - state.startedAtMillis < SETTLING_MILLIS) return emptyList()
+        val standby =
+            configuration.services.values
+                .filter { it.isStandby }
+                .map { it.name }
+        val served = configuration.queues.mapTo(LinkedHashSet()) { it.serviceName }.filter { it !in standby }
+        val busyIds = underway.mapTo(HashSet()) { it.machine.machineId }
+        val free = machines.filter { it.isUp && it.machineId !in busyIds }
+        val rooms = served.map { pool -> room(pool, machines, underway, now) }
+        val moves = ArrayList<PoolMove>()
+        val supply = ArrayDeque(free.filter { it.poolName in standby })
+        rooms.filter { it.surplus > 0 }.forEach { room -> supply.addAll(idle(room, free).take(room.surplus)) }
+        rooms.filter { it.surplus < 0 }.sortedBy { it.surplus.toDouble() / it.wantedMachines }.forEach { room ->
+            repeat(-room.surplus) {
+                val machine = supply.firstOrNull { it.kind to room.poolName !in barred } ?: return@repeat
+                supply.remove(machine)
+                moves += PoolMove(machine, room.poolName)
+            }
+        }
+        val rest = standby.firstOrNull() ?: return moves.take(MOST_MOVES)
+        supply
+            .filter { it.poolName !in standby && it.kind to rest !in barred }
+            .forEach { moves += PoolMove(it, rest) }
+        return moves.take(MOST_MOVES)
+    }
+
+    private class PoolRoom(
+        val poolName: String,
+        val wantedMachines: Int,
+        val surplus: Int,
+    )
+
+    private fun room(
+        pool: String,
+        machines: List<Machine>,
+        underway: Collection<PoolMove>,
+        now: Long,
+    ): PoolRoom {
+        val workers = state.workers.values.filter { it.listed.serviceName == pool }
+        val capacity = workers.firstOrNull()?.listed?.capacity ?: fallbackCapacity()
+        val used = workers.fold(Amount()) { sum, worker -> sum + (worker.listed.capacity - worker.free) }
+        val demand = PoolDemand(pool, used, state.wantedByService[pool] ?: Amount(), capacity)
+        val wanted = sizer.size(demand, now)
+        val serving = workers.count { it.takesWork }
+        val returning = machines.count { it.poolName == pool && !it.isUp && !it.isLost }
+        val coming = underway.count { it.poolName == pool && it.machine.poolName != pool && !isSeen(it, machines) }
+        return PoolRoom(pool, wanted, serving + returning + coming - wanted)
+    }
+
+    // Counted by the list from then on.
+    private fun isSeen(
+        move: PoolMove,
+        machines: List<Machine>,
+    ): Boolean = machines.any { it.machineId == move.machine.machineId && it.poolName == move.poolName && !it.isUp }
+
+    private fun fallbackCapacity(): Amount =
+        state.workers.values
+            .firstOrNull()
+            ?.listed
+            ?.capacity ?: Amount()
+
+    private fun idle(
+        room: PoolRoom,
+        free: List<Machine>,
+    ): List<Machine> =
+        free
+            .filter { it.poolName == room.poolName }
+            .filter { machine -> machine.workerId?.let { state.workers[it] }?.let(::isIdle) ?: false }
+
+    private fun isIdle(worker: WorkerEntry) = worker.takesWork && worker.runs.isEmpty()
+
+    private companion object {
+        // After a takeover workers answer within moments, or do not for now.
+        const val SETTLING_MILLIS = 2_000L
+
+        // Orders of one tick; the platform takes some dozens a second from all.
+        const val MOST_MOVES = 6
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -0,0 +1,104 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.ports.MachineGateway
+import org.verbenagauge.entry.jobs.ports.MachineOutcome
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+
+/** Carries out moves of machines between pools, in one owner's term. */
+internal class PoolMover(
+    private val gateway: MachineGateway,
+    private val board: MachineBoard,
+    private val engine: JobEngine,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val mayOrder: () -> Boolean,
+    private val onFenced: (String) -> Unit,
+) {
+    private class Underway(
+        val move: PoolMove,
+        val orderedAtMillis: Long,
+        var isDone: Boolean = false,
+    )
+
+    private val planner = MovePlanner(engine.state, TurnSizer())
+    private val underway = HashMap<String, Underway>()
+    private val barred = HashSet<Pair<String, String>>()
+
+    /** Runs until cancelled. */
+    suspend fun run(): Unit =
+        coroutineScope {
+            while (true) {
+                delay(TICK_MILLIS)
+                if (!mayOrder() || !engine.state.isListKnown || !board.refresh()) continue
+                forgetArrived()
+                val now = clock.monotonicMillis()
+                planner.next(board.machines, underway.values.map { it.move }, barred, now).forEach { begin(this, it) }
+            }
+        }
+
+    private fun begin(
+        scope: CoroutineScope,
+        move: PoolMove,
+    ) {
+        underway[move.machine.machineId] = Underway(move, clock.monotonicMillis())
+        worker(move)?.reservations?.add(RESERVATION)
+        scope.launch { order(move) }
+    }
+
+    private fun worker(move: PoolMove) = move.machine.workerId?.let { engine.state.workers[it] }
+
+    private suspend fun order(move: PoolMove) {
+        val outcome = gateway.move(move.machine.machineId, move.poolName, engine.state.epoch)
+        val subject = "${move.machine.machineId}: ${move.machine.poolName} to ${move.poolName}"
+        log.write(Event.MACHINE_MOVED, "$subject, worker ${move.machine.workerId}: $outcome")
+        when (outcome) {
+            is MachineOutcome.Done -> {
+                underway[move.machine.machineId]?.isDone = true
+                move.machine.workerId?.let { engine.ended(it, clock.monotonicMillis()) }
+            }
+
+            is MachineOutcome.Fenced -> onFenced("machine '${move.machine.machineId}'")
+            is MachineOutcome.Rejected -> {
+                barred += move.machine.kind to move.poolName
+                forget(move)
+            }
+
+            is MachineOutcome.Busy, is MachineOutcome.TryLater -> forget(move)
+            is MachineOutcome.Unanswered -> {
+                delay(TICK_MILLIS)
+                if (move.machine.machineId in underway) order(move)
+            }
+        }
+    }
+
+    private fun forget(move: PoolMove) {
+        underway.remove(move.machine.machineId)
+        worker(move)?.reservations?.remove(RESERVATION)
+    }
+
+    private fun forgetArrived() {
+        val now = clock.monotonicMillis()
+        underway.values.toList().filter { it.isDone }.forEach { entry ->
+            val listed = board.machines.firstOrNull { it.machineId == entry.move.machine.machineId }
+            val isListed = listed?.poolName == entry.move.poolName && board.readAtMillis > entry.orderedAtMillis
+            val isOver = listed == null || now - entry.orderedAtMillis > ARRIVAL_MILLIS
+            val hasWorker = listed?.workerId?.let { it in engine.state.workers } ?: (listed?.isUp == true)
+            if (isOver || isListed && listed?.isUp == true && hasWorker) underway.remove(entry.move.machine.machineId)
+        }
+    }
+
+    private companion object {
+        const val RESERVATION = "move"
+        const val TICK_MILLIS = 100L
+
+        // A move takes a second or two; after this the list alone counts.
+        const val ARRIVAL_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolSizer.kt
@@ -0,0 +1,86 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import org.verbenagauge.entry.jobs.model.Amount
+
+/**
+ * Demand of a pool at one moment.
+ *
+ * @property poolName pool.
+ * @property used what runs or may run.
+ * @property wanted what waits for room and for nothing else.
+ * @property machineCapacity what one machine of the pool has.
+ */
+internal data class PoolDemand(
+    val poolName: String,
+    val used: Amount,
+    val wanted: Amount,
+    val machineCapacity: Amount,
+)
+
+/** Says how many machines a pool needs. A pure decision. */
+internal interface PoolSizer {
+    /** Takes in [demand] at [now] and returns the number of machines that the pool shall have. */
+    fun size(
+        demand: PoolDemand,
+        now: Long,
+    ): Int
+}
+
+/** Leaves every pool at [machines]; the naive version of [TurnSizer]. */
+internal class FixedSizer(
+    private val machines: Int,
+) : PoolSizer {
+    override fun size(
+        demand: PoolDemand,
+        now: Long,
+    ): Int = machines
+}
+
+/**
+ * Follows the highest demand of the last seconds, with headroom. Answers queues that ask five times their mean for some
+ * seconds by turns: a pool grows at once and shrinks after its turn.
+ */
+internal class TurnSizer : PoolSizer {
+    private class Sample(
+        val atMillis: Long,
+        val machines: Double,
+    )
+
+    private val samplesByPool = HashMap<String, ArrayDeque<Sample>>()
+
+    override fun size(
+        demand: PoolDemand,
+        now: Long,
+    ): Int {
+        val samples = samplesByPool.getOrPut(demand.poolName) { ArrayDeque() }
+        samples.addLast(Sample(now, machinesFor(demand)))
+        while (samples.first().atMillis < now - MEMORY_MILLIS) samples.removeFirst()
+        val highest = samples.maxOf { it.machines }
+        return maxOf(LEAST_MACHINES, Math.ceil(highest * HEADROOM).toInt() + 1)
+    }
+
+    private fun machinesFor(demand: PoolDemand): Double {
+        val need = demand.used + demand.wanted
+        return maxOf(
+            share(need.cpuMillis, demand.machineCapacity.cpuMillis),
+            share(need.memoryMegabytes, demand.machineCapacity.memoryMegabytes),
+            share(need.gpus, demand.machineCapacity.gpus),
+        )
+    }
+
+    private fun share(
+        need: Long,
+        capacity: Long,
+    ): Double = if (capacity > 0) need.toDouble() / capacity else 0.0
+
+    private companion object {
+        // A turn has pauses of a second or two; a machine that left takes as long to come back.
+        const val MEMORY_MILLIS = 3_000L
+
+        // Tasks do not fill machines to the brim.
+        const val HEADROOM = 1.15
+
+        // What takes the first moments of a turn, until more machines have come.
+        const val LEAST_MACHINES = 3
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
@@ -24,6 +24,9 @@
     val done = HashSet(record.doneMachineIds)
     var isCompleted = record.isCompleted
 
+    /** Name under which workers are kept free for the wave. */
+    val reservation: String = "wave ${wave.number}"
+
     /** Machines that are being emptied, with the time at which that began. */
     val emptyingSinceMillis = HashMap<String, Long>()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -46,6 +46,7 @@
 /** Drives the waves of one owner's term. */
 internal class WaveRunner(
     private val ports: WavePorts,
+    private val board: MachineBoard,
     private val engine: JobEngine,
     private val clock: Clock,
     private val log: EventLog,
@@ -54,8 +55,6 @@
 ) {
     private val progressByWave = HashMap<Long, WaveProgress>()
     private val steps = WaveSteps(engine.state, LastingGuard(engine.state))
-    private var machines: List<Machine> = emptyList()
-    private var readAtMillis = Long.MIN_VALUE / 2
 
     /** Runs until cancelled. */
     suspend fun run(): Unit =
@@ -64,24 +63,16 @@
                 delay(TICK_MILLIS)
                 val active = ports.waves().mapNotNull { progress(it) }.filter { !it.isCompleted }
                 if (active.isEmpty() || !mayOrder()) continue
-                if (clock.monotonicMillis() - readAtMillis > READ_MILLIS) read()
-                if (clock.monotonicMillis() - readAtMillis > STALE_MILLIS) continue
+                if (!board.refresh()) continue
                 active.forEach { step(this, it) }
             }
         }
 
-    private suspend fun read() {
-        val startedMillis = clock.monotonicMillis()
-        val listed = ports.machines.list() ?: return
-        machines = listed
-        readAtMillis = startedMillis
-    }
-
     private suspend fun step(
         scope: CoroutineScope,
         progress: WaveProgress,
     ) {
-        val step = steps.next(progress, machines, readAtMillis, clock.monotonicMillis())
+        val step = steps.next(progress, board.machines, board.readAtMillis, clock.monotonicMillis())
         step.stop.forEach { engine.stop(it, clock.monotonicMillis()) }
         step.order.forEach { machine ->
             progress.inFlight += machine.machineId
@@ -133,8 +124,8 @@
     ) {
         val workerId = machine.workerId ?: return
         repeat(SETTLE_READS) {
-            read()
-            val listed = machines.firstOrNull { it.machineId == machine.machineId }
+            board.read()
+            val listed = board.machines.firstOrNull { it.machineId == machine.machineId }
             if (listed == null || !listed.isUp || listed.workerId != workerId) {
                 engine.ended(workerId, clock.monotonicMillis())
                 return
@@ -149,7 +140,10 @@
         machine: Machine,
     ) {
         progress.emptyingSinceMillis.remove(machine.machineId)
-        machine.workerId?.let { engine.state.workers[it] }?.isReserved = false
+        machine.workerId
+            ?.let { engine.state.workers[it] }
+            ?.reservations
+            ?.remove(progress.reservation)
     }
 
     private suspend fun complete(progress: WaveProgress) {
@@ -186,9 +180,6 @@
         const val WAVE_TABLE = "waves"
         const val TICK_MILLIS = 100L
 
-        // The platform allows some dozens of reads a second for all.
-        const val READ_MILLIS = 500L
-        const val STALE_MILLIS = 2_500L
         const val STORE_TIMEOUT_MILLIS = 700L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -121,7 +121,7 @@
         var room = progress.wave.maxAtOnce - down.size - progress.emptyingSinceMillis.size
         candidates.forEach { (machine, worker) ->
             if (room > 0 && poolAllows(worker)) {
-                worker.isReserved = true
+                worker.reservations += progress.reservation
                 progress.emptyingSinceMillis[machine.machineId] = now
                 room--
             }
@@ -152,7 +152,7 @@
         worker: WorkerEntry?,
     ) {
         progress.emptyingSinceMillis.remove(machineId)
-        worker?.isReserved = false
+        worker?.reservations?.remove(progress.reservation)
     }
 
     private companion object {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -10,6 +10,8 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.EngineAction
 import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.fleet.MachineBoard
+import org.verbenagauge.entry.jobs.fleet.PoolMover
 import org.verbenagauge.entry.jobs.fleet.WavePorts
 import org.verbenagauge.entry.jobs.fleet.WaveRunner
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
@@ -71,7 +73,11 @@
                     launch { WorkFollower(ports.store, engine, clock, ::wake).run() }
                     launch { WorkerFollower(ports.workerList, engine, clock, ::wake).run() }
                     launch { decideLoop(this) }
-                    ports.waves?.let { waves -> launch { waveRunner(waves).run() } }
+                    ports.waves?.let { waves ->
+                        val board = MachineBoard(waves.machines, clock)
+                        launch { waveRunner(waves, board).run() }
+                        launch { poolMover(waves, board).run() }
+                    }
                     launch {
                         val lost = writer.run { wake() }
                         ended.complete("row is held by '${lost.to?.entryId}', epoch ${lost.to?.epoch}")
@@ -84,10 +90,19 @@
             reason
         }
 
-    private fun waveRunner(waves: WavePorts) =
-        WaveRunner(waves, engine, clock, log, mayOrder = writer::isLeaseValid) { subject ->
-            ended.complete("$subject has seen a higher epoch than ${engine.state.epoch}")
-        }
+    private fun waveRunner(
+        waves: WavePorts,
+        board: MachineBoard,
+    ) = WaveRunner(waves, board, engine, clock, log, mayOrder = writer::isLeaseValid, onFenced = ::fenced)
+
+    private fun poolMover(
+        waves: WavePorts,
+        board: MachineBoard,
+    ) = PoolMover(waves.machines, board, engine, clock, log, mayOrder = writer::isLeaseValid, onFenced = ::fenced)
+
+    private fun fenced(subject: String) {
+        ended.complete("$subject has seen a higher epoch than ${engine.state.epoch}")
+    }
 
     private suspend fun giveUp() {
         withTimeoutOrNull(RELEASE_MILLIS) {
@@ -176,7 +191,7 @@
         isOwner: Boolean,
         workerId: String,
     ) {
-        if (!isOwner) ended.complete("worker '$workerId' has seen a higher epoch than ${engine.state.epoch}")
+        if (!isOwner) fenced("worker '$workerId'")
     }
 
     private companion object {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/MachineGateway.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/MachineGateway.kt
@@ -7,7 +7,8 @@
  * @property poolName pool that it belongs to.
  * @property isUp whether it runs a worker.
  * @property isInMaintenance whether it is down for maintenance.
- * @property rack rack, empty when not told.
+ * @property isLost whether it has failed.
+ * @property kind kind of the machine; pools take machines of their own kind only.
  * @property workerId worker that runs on it, or null.
  */
 public data class Machine(
@@ -15,7 +16,8 @@
     val poolName: String,
     val isUp: Boolean,
     val isInMaintenance: Boolean,
-    val rack: String,
+    val isLost: Boolean,
+    val kind: String,
     val workerId: String?,
 )
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -67,6 +67,7 @@
     SETTINGS_RELOADED(7040, Level.INFO),
     WAVE_STEP(7050, Level.INFO),
     WAVE_REPORTED(7051, Level.INFO),
+    MACHINE_MOVED(7052, Level.INFO),
 }
 
 /** Writes numbered events as structured JSON. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -51,7 +51,8 @@
             poolName = wire.pool,
             isUp = wire.state == "up",
             isInMaintenance = wire.state == "upkeep",
-            rack = wire.labels.firstOrNull { rackPattern.matches(it) }.orEmpty(),
+            isLost = wire.state == "down",
+            kind = wire.labels.firstOrNull { !rackPattern.matches(it) }.orEmpty(),
             workerId = wire.id?.ifEmpty { null },
         )
 
