Write logs to standard output without blocking; serve metrics; take up SIGHUP; ask the advisor

Cause: a reader of standard output that stalls blocked the process, SIGHUP would have ended it, and nothing was counted.

Change: a bounded queue with a rate for each event; what is left out is counted and written later. Counters of events, of calls by outcome and latencies on the metrics address. The settings file is read again at SIGHUP and every two seconds.

--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/RunCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/RunCommand.kt
@@ -30,7 +30,7 @@
             }
 
             is PlatformSettingsOutcome.Valid -> {
-                val entry = PlatformEntry(outcome.settings)
+                val entry = PlatformEntry(outcome.settings, Path.of(file))
                 Runtime.getRuntime().addShutdownHook(
                     Thread {
                         entry.stop()
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobMetrics.kt
@@ -0,0 +1,77 @@
+package org.verbenagauge.entry.jobs
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.verbenagauge.entry.logging.Event
+
+private const val MILLIS_PER_SECOND = 1_000.0
+
+/** Counters and latencies of one entry that runs jobs. */
+public class JobMetrics(
+    private val registry: PrometheusRegistry,
+) {
+    private val events =
+        Counter
+            .builder()
+            .name("verbenagauge_events_total")
+            .help("Numbered events, whether their line was written or left out")
+            .labelNames("event")
+            .register(registry)
+
+    private val calls =
+        Histogram
+            .builder()
+            .name("verbenagauge_job_call_duration_seconds")
+            .help("Time from a caller's call about a job to the answer")
+            .classicOnly()
+            .labelNames("call", "outcome")
+            .register(registry)
+
+    private val outgoing =
+        Histogram
+            .builder()
+            .name("verbenagauge_outgoing_call_duration_seconds")
+            .help("Time of calls to the store and to workers")
+            .classicOnly()
+            .labelNames("target", "outcome")
+            .register(registry)
+
+    /** Counts [event]. */
+    public fun event(event: Event) {
+        events.labelValues(event.name).inc()
+    }
+
+    /** Takes note of a caller's [call] that ended as [outcome] after [millis]. */
+    public fun call(
+        call: String,
+        outcome: String,
+        millis: Long,
+    ) {
+        calls.labelValues(call, outcome).observe(millis / MILLIS_PER_SECOND)
+    }
+
+    /** Takes note of a call to [target] that ended as [outcome] after [millis]. */
+    public fun outgoing(
+        target: String,
+        outcome: String,
+        millis: Long,
+    ) {
+        outgoing.labelValues(target, outcome).observe(millis / MILLIS_PER_SECOND)
+    }
+
+    /** Registers a gauge that [read] gives. */
+    public fun gauge(
+        name: String,
+        help: String,
+        read: () -> Double,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(read()) }
+            .register(registry)
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -56,8 +56,8 @@
 
     private suspend fun order(move: PoolMove) {
         val outcome = gateway.move(move.machine.machineId, move.poolName, engine.state.epoch)
-        val subject = "${move.machine.machineId}: ${move.machine.poolName} to ${move.poolName}"
-        log.write(Event.MACHINE_MOVED, "$subject, worker ${move.machine.workerId}: $outcome")
+        val way = "${move.machine.poolName} to ${move.poolName}"
+        log.write(Event.MACHINE_MOVED, move.machine.machineId, "$way, worker ${move.machine.workerId}: $outcome")
         when (outcome) {
             is MachineOutcome.Done -> {
                 underway[move.machine.machineId]?.isDone = true
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -89,7 +89,8 @@
         val outcome = ports.machines.maintain(machine.machineId, progress.wave.number, engine.state.epoch)
         log.write(
             Event.WAVE_STEP,
-            "${machine.machineId}: wave ${progress.wave.number}, worker ${machine.workerId}: $outcome",
+            machine.machineId,
+            "wave ${progress.wave.number}, worker ${machine.workerId}: $outcome",
         )
         when (outcome) {
             is MachineOutcome.Done -> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.front
 
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.jobs.model.JobSpecification
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
@@ -47,6 +48,7 @@
     private val front: JobFront,
     private val clock: Clock,
     private val log: EventLog,
+    private val metrics: JobMetrics,
 ) {
     /** Configuration in force at this entry, or null before it was read. */
     @Volatile
@@ -75,8 +77,9 @@
         waitMillis: Long,
     ): SubmitOutcome {
         val record = JobRecord(admitted.queue.name, admitted.teamName, clock.wallMillis(), specification)
+        val startedMillis = clock.monotonicMillis()
         val outcome = front.submit(admitted.jobId, record, deadline(waitMillis))
-        log.write(Event.JOB_ANSWERED, "${admitted.jobId}: submit, ${describe(admitted)}: $outcome")
+        answered("submit", admitted, outcome, startedMillis)
         return outcome
     }
 
@@ -85,10 +88,9 @@
         admitted: Admittance.Admitted,
         waitMillis: Long,
     ): JobLookup {
+        val startedMillis = clock.monotonicMillis()
         val outcome = front.lookup(admitted.jobId, deadline(waitMillis))
-        if (outcome !is JobLookup.Found) {
-            log.write(Event.JOB_ANSWERED, "${admitted.jobId}: lookup, ${describe(admitted)}: $outcome")
-        }
+        answered("lookup", admitted, outcome, startedMillis)
         return outcome
     }
 
@@ -97,14 +99,26 @@
         admitted: Admittance.Admitted,
         waitMillis: Long,
     ): CancelOutcome {
+        val startedMillis = clock.monotonicMillis()
         val outcome = front.cancel(admitted.jobId, deadline(waitMillis))
-        log.write(Event.JOB_ANSWERED, "${admitted.jobId}: cancel, ${describe(admitted)}: $outcome")
+        answered("cancel", admitted, outcome, startedMillis)
         return outcome
     }
 
     /** Accepted jobs of the queue without a started task. */
     public fun pending(admitted: Admittance.Admitted): Int = front.pending(admitted.queue.name)
 
+    private fun answered(
+        call: String,
+        admitted: Admittance.Admitted,
+        outcome: Any,
+        startedMillis: Long,
+    ) {
+        val tookMillis = clock.monotonicMillis() - startedMillis
+        metrics.call(call, outcome::class.simpleName.orEmpty(), tookMillis)
+        log.write(Event.JOB_ANSWERED, admitted.jobId, "$call, ${describe(admitted)}: $outcome after $tookMillis ms")
+    }
+
     private fun describe(admitted: Admittance.Admitted) =
         "queue '${admitted.queue.name}', team '${admitted.teamName}', configuration ${configuration?.version}"
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -18,6 +18,7 @@
     ENTRY_STOPPING(1002, Level.INFO),
     ENTRY_STOPPED(1003, Level.INFO),
     SETTINGS_INVALID(1004, Level.ERROR),
+    LINES_LEFT_OUT(1008, Level.WARN),
     CHILD_RESTARTED(1005, Level.ERROR),
     TLS_LOADED(1006, Level.INFO),
     TLS_INVALID(1007, Level.ERROR),
@@ -70,23 +71,48 @@
     MACHINE_MOVED(7052, Level.INFO),
 }
 
-/** Writes numbered events as structured JSON. */
+/**
+ * Writes numbered events as structured JSON to standard output. Never blocks: lines that find no room are counted.
+ *
+ * @param onEvent is told each event, whether its line is written or left out.
+ */
 public class EventLog(
     private val entryId: String,
+    private val onEvent: (Event) -> Unit = {},
 ) {
     private val logger = LogManager.getLogger("verbenagauge")
+    private val queue = LogQueue(::print).also { it.start() }
 
     /** Writes [event] with a sentence that names the thing it concerns. */
     public fun write(
         event: Event,
         message: String,
     ) {
-        if (!logger.isEnabled(event.level)) return
-        ThreadContext.put("event", event.number.toString())
-        ThreadContext.put("name", event.name)
+        write(event, subject = "", message)
+    }
+
+    /** Writes [event] with a sentence about [subject], the request, job, run, worker or machine that it concerns. */
+    public fun write(
+        event: Event,
+        subject: String,
+        message: String,
+    ) {
+        onEvent(event)
+        if (logger.isEnabled(event.level)) queue.offer(LogLine(event, message, subject))
+    }
+
+    /** Writes the lines that wait. */
+    public fun flush() {
+        queue.flush()
+    }
+
+    private fun print(line: LogLine) {
+        ThreadContext.put("event", line.event.number.toString())
+        ThreadContext.put("name", line.event.name)
         ThreadContext.put("entry", entryId)
+        if (line.subject.isNotEmpty()) ThreadContext.put("subject", line.subject)
         try {
-            logger.log(event.level, message)
+            logger.log(line.event.level, line.message)
         } finally {
             ThreadContext.clearMap()
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpExchange.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpExchange.kt
@@ -37,3 +37,14 @@
         val cause: String,
     ) : HttpOutcome
 }
+
+/** Short name of an outcome, for metrics. */
+internal val HttpOutcome.label: String
+    get() =
+        when (this) {
+            is HttpOutcome.Answered -> if (status < FIRST_ERROR_STATUS) "answered" else "status_$status"
+            is HttpOutcome.NotSent -> "not_sent"
+            is HttpOutcome.Unanswered -> "unanswered"
+        }
+
+private const val FIRST_ERROR_STATUS = 400
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -8,6 +8,7 @@
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondText
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -19,6 +20,7 @@
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
 import org.verbenagauge.entry.clock.systemClock
+import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.fleet.WavePorts
 import org.verbenagauge.entry.jobs.front.JobCalls
@@ -31,11 +33,13 @@
 import org.verbenagauge.entry.jobs.owner.Ownership
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.operator.metricsRoutes
 import org.verbenagauge.entry.peers.PeerAddress
 import org.verbenagauge.entry.peers.PeerEndpoint
 import org.verbenagauge.entry.peers.SocketPeerNetwork
 import org.verbenagauge.entry.relay.EntryDirectory
 import org.verbenagauge.entry.relay.StoreRelay
+import java.nio.file.Path
 import java.util.concurrent.Executors
 
 private const val SHUTDOWN_HOOK_PROPERTY = "io.ktor.server.engine.ShutdownHook"
@@ -43,30 +47,33 @@
 /** One entry on the platform: wires the parts of the product to the platform's services. */
 public class PlatformEntry(
     private val settings: PlatformEntrySettings,
+    private val settingsFile: Path? = null,
 ) {
     private val clock = systemClock()
-    private val log = EventLog(settings.entry.id)
+    private val registry = PrometheusRegistry()
+    private val metrics = JobMetrics(registry)
+    private val log = EventLog(settings.entry.id, metrics::event)
     private val executor =
         Executors.newSingleThreadExecutor { task -> Thread(task, "entry").also { it.isDaemon = true } }
     private val dispatcher = executor.asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val selector = SelectorManager(Dispatchers.IO)
     private val waves = HashMap<String, MaintenanceWave>()
-    private val link = StoreLink(selector, address(settings.platform.store), clock, scope, log)
+    private val link = StoreLink(selector, address(settings.platform.store), clock, scope, log, metrics)
     private val store = PlatformStore(link)
     private val peerAddress = parseHostPort(settings.listeners.peers)
     private val directory =
         peerAddress?.let { EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id)) }
     private val catalogue = StateCatalogue(store, clock)
-    private val calls = JobCalls(JobFront(store, catalogue, clock), clock, log)
+    private val calls = JobCalls(JobFront(store, catalogue, clock), clock, log, metrics)
     private val ownership =
         Ownership(
             entryId = settings.entry.id,
             ports =
                 OwnerPorts(
                     store = store,
-                    workers = PlatformWorkers(selector, clock),
-                    advisor = null,
+                    workers = PlatformWorkers(selector, clock, metrics),
+                    advisor = parseHostPort(settings.platform.advisor)?.let { PlatformAdvisor(selector, it, clock) },
                     workerList = PlatformWorkerList(store),
                     waves = parseHostPort(settings.platform.machines)?.let(::wavePorts),
                 ),
@@ -83,6 +90,12 @@
         )
     private val documents = OperatorDocuments(store, ::configure, ::wave)
     private val callerServer = server(settings.listeners.caller) { clientRoutes(calls, dispatcher) }
+    private val metricsServer =
+        settings.listeners.metrics.ifEmpty { null }?.let {
+            server(
+                it,
+            ) { metricsRoutes(registry) }
+        }
     private val readinessServer = server(settings.listeners.readiness) { readiness() }
 
     @Volatile private var isStopping = false
@@ -96,6 +109,9 @@
         directory?.let { scope.launch { connectPeers(it) } }
         callerServer.start(wait = false)
         readinessServer.start(wait = false)
+        metricsServer?.start(wait = false)
+        settingsFile?.let(::watch)
+        gauges()
         log.write(Event.ENTRY_STARTED, "caller ${settings.listeners.caller}, store ${settings.platform.store}")
     }
 
@@ -109,11 +125,39 @@
         }
         callerServer.stop(GRACE_MILLIS, TIMEOUT_MILLIS)
         readinessServer.stop(0, 0)
+        metricsServer?.stop(0, 0)
         log.write(Event.ENTRY_STOPPED, "done")
         scope.cancel()
+        log.flush()
         LogManager.shutdown()
     }
 
+    private fun watch(file: Path) {
+        val watch = SettingsWatch(file, log, settings, onChange = {})
+        watch.listen()
+        scope.launch { watch.run() }
+    }
+
+    private fun gauges() {
+        metrics.gauge("verbenagauge_owner", "1 while this entry decides on placement") {
+            if (ownership.isOwner) 1.0 else 0.0
+        }
+        metrics.gauge("verbenagauge_configuration_version", "Version of the configuration in force here") {
+            calls.configuration?.version?.toDouble() ?: 0.0
+        }
+        metrics.gauge("verbenagauge_store_silence_seconds", "Time since the store last answered this entry") {
+            catalogue.silenceMillis() / MILLIS_PER_SECOND
+        }
+        metrics.gauge("verbenagauge_pending_jobs", "Accepted jobs without a started task, as the owner last told") {
+            catalogue.owner
+                ?.record
+                ?.pendingByQueue
+                ?.values
+                ?.sum()
+                ?.toDouble() ?: 0.0
+        }
+    }
+
     private suspend fun connectPeers(directory: EntryDirectory) {
         val address = checkNotNull(peerAddress) { "listeners.peers is not set" }
         scope.launch { directory.run() }
@@ -172,6 +216,7 @@
 
     private companion object {
         const val RANKS = 8
+        const val MILLIS_PER_SECOND = 1_000.0
 
         // The balancer asks once a second and turns away after two misses.
         const val STOP_LINGER_MILLIS = 2_200L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformWorkers.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.longOrNull
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.model.parseTaskId
 import org.verbenagauge.entry.jobs.ports.EndKind
@@ -26,6 +27,7 @@
 import org.verbenagauge.http.HttpConnection
 import org.verbenagauge.http.HttpOutcome
 import org.verbenagauge.http.HttpPool
+import org.verbenagauge.http.label
 
 private const val OK = 200
 private const val MALFORMED = 400
@@ -37,6 +39,7 @@
 internal class PlatformWorkers(
     private val selector: SelectorManager,
     private val clock: Clock,
+    private val metrics: JobMetrics,
 ) : WorkerGateway {
     private val pools = HashMap<WorkerAddress, HttpPool>()
 
@@ -89,7 +92,10 @@
         val pool = pools.getOrPut(address) { HttpPool(selector, address.host, address.port, clock) }
         val body = wireJson.encodeToString(serializer, wire).encodeToByteArray()
         val call = HttpCall("POST", path, listOf(LIFE_HEADER to address.workerId), body)
-        return when (val outcome = pool.exchange(call, ORDER_TIMEOUT_MILLIS)) {
+        val startedMillis = clock.monotonicMillis()
+        val outcome = pool.exchange(call, ORDER_TIMEOUT_MILLIS)
+        metrics.outgoing("worker", outcome.label, clock.monotonicMillis() - startedMillis)
+        return when (outcome) {
             is HttpOutcome.Answered -> orderOutcome(outcome)
             is HttpOutcome.NotSent -> OrderOutcome.NotSent(outcome.cause)
             is HttpOutcome.Unanswered -> OrderOutcome.Unanswered(outcome.cause)
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/SettingsWatch.kt
@@ -0,0 +1,61 @@
+package org.verbenagauge.platform
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+import sun.misc.Signal
+import java.nio.file.Path
+
+/**
+ * Takes up a changed settings file, at SIGHUP and without any signal. Limits apply at once; addresses need a restart,
+ * which the log says.
+ */
+internal class SettingsWatch(
+    private val file: Path,
+    private val log: EventLog,
+    private var current: PlatformEntrySettings,
+    private val onChange: (PlatformEntrySettings) -> Unit,
+) {
+    private val hangups = Channel<Unit>(Channel.CONFLATED)
+
+    /** Takes over SIGHUP, which would end the process otherwise. */
+    fun listen() {
+        Signal.handle(Signal("HUP")) { hangups.trySend(Unit) }
+    }
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        while (true) {
+            val isSignal = withTimeoutOrNull(CHECK_MILLIS) { hangups.receive() } != null
+            check(isSignal)
+        }
+    }
+
+    private fun check(isSignal: Boolean) {
+        when (val read = readPlatformSettings(file)) {
+            is PlatformSettingsOutcome.Valid -> take(read.settings, isSignal)
+            is PlatformSettingsOutcome.Invalid ->
+                log.write(Event.SETTINGS_INVALID, "${read.problem}; the settings in use stay")
+        }
+    }
+
+    private fun take(
+        read: PlatformEntrySettings,
+        isSignal: Boolean,
+    ) {
+        if (read == current) {
+            if (isSignal) log.write(Event.SETTINGS_RELOADED, "$file has not changed")
+            return
+        }
+        val needsRestart = read.copy(limits = current.limits) != current
+        val rest = if (needsRestart) "; addresses and names apply at the next start" else ""
+        log.write(Event.SETTINGS_RELOADED, "$file has changed$rest")
+        current = read
+        onChange(read)
+    }
+
+    private companion object {
+        const val CHECK_MILLIS = 2_000L
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.relay.StoreRelay
@@ -12,6 +13,7 @@
 import org.verbenagauge.http.HttpConnection
 import org.verbenagauge.http.HttpOutcome
 import org.verbenagauge.http.HttpPool
+import org.verbenagauge.http.label
 
 /**
  * Way to the platform's store: direct, or through a peer while the store turns this entry away. Every call to the store
@@ -23,6 +25,7 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
     private val log: EventLog,
+    private val metrics: JobMetrics,
 ) {
     private val pool = HttpPool(selector, address.host, address.port, clock)
     private var isDirectDown = false
@@ -31,11 +34,17 @@
     /** Reaches peers; null when there are none. */
     var relay: StoreRelay? = null
 
-    /** Makes [call] without any peer. */
+    /** Makes [call] without any peer, over [connection] where the call must not share one. */
     suspend fun direct(
         call: HttpCall,
         timeoutMillis: Long,
-    ): HttpOutcome = pool.exchange(call, timeoutMillis)
+        connection: HttpConnection? = null,
+    ): HttpOutcome {
+        val startedMillis = clock.monotonicMillis()
+        val outcome = connection?.exchange(call, timeoutMillis) ?: pool.exchange(call, timeoutMillis)
+        metrics.outgoing("store", outcome.label, clock.monotonicMillis() - startedMillis)
+        return outcome
+    }
 
     /** Makes [call], over [connection] where the call must not share one. */
     suspend fun exchange(
@@ -44,7 +53,7 @@
         connection: HttpConnection? = null,
     ): HttpOutcome {
         if (isDirectDown) relayed(call, timeoutMillis)?.takeIf(::isServed)?.let { return it }
-        val outcome = connection?.exchange(call, timeoutMillis) ?: direct(call, timeoutMillis)
+        val outcome = direct(call, timeoutMillis, connection)
         if (isServed(outcome)) {
             isDirectDown = false
             return outcome
