--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/RunCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/RunCommand.kt
@@ -9,6 +9,9 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
+/** Time kept back of the time to stop, so that the process ends by itself. */
+private const val STOP_MARGIN_MILLIS = 800L
+
 /** Variable that names the settings file when the option is left out. */
 private const val SETTINGS_VARIABLE = "VERBENAGAUGE_NODE_FILE"
 
@@ -33,8 +36,9 @@
                 val entry = PlatformEntry(outcome.settings, Path.of(file))
                 Runtime.getRuntime().addShutdownHook(
                     Thread {
-                        entry.stop()
-                        Runtime.getRuntime().halt(0)
+                        val stopping = Thread(entry::stop, "stop").also { it.start() }
+                        stopping.join(outcome.settings.limits.stopMillis - STOP_MARGIN_MILLIS)
+                        Runtime.getRuntime().halt(if (stopping.isAlive) ExitCode.STOP_TIMEOUT.number else 0)
                     },
                 )
                 entry.start()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -36,6 +36,7 @@
 ) : Child {
     override val name: String = "ownership"
 
+    private val vacancy = Vacancy(entryId, settings)
     private var configuration: JobsConfiguration? = null
     private var term: OwnerTerm? = null
 
@@ -64,7 +65,7 @@
         while (!isStopping) {
             val seen = catalogue.owner
             val current = configuration
-            if (seen == null || current == null || !isVacant(seen)) {
+            if (seen == null || current == null || !isVacant()) {
                 delay(WATCH_MILLIS)
                 continue
             }
@@ -72,22 +73,11 @@
         }
     }
 
-    private fun isVacant(seen: SeenOwner): Boolean {
-        val now = clock.monotonicMillis()
-        val contactMillis = catalogue.contactSinceMillis?.let { now - it } ?: return false
-        if (catalogue.silenceMillis() > FRESH_MILLIS) return false
-        val rankMillis = rank() * RANK_STEP_MILLIS
-        val isFree = seen.record == null || seen.record.entryId.isEmpty()
-        if (isFree) return now - seen.seenAtMillis >= rankMillis
-        // The row is of an earlier process of this entry, which has ended.
-        if (seen.record?.entryId == entryId) return true
-        // Workers refuse the old owner from the takeover on, so that a wrong guess costs a moment and breaks nothing.
-        val epoch = seen.record?.epoch ?: 0
-        if (news?.isSilent(epoch) == true) return now - seen.seenAtMillis >= SUSPECT_MILLIS + rankMillis
-        val quietMillis = now - seen.seenAtMillis
-        // After an outage the owner gets the time of two renewals to be heard again.
-        val longEnough = contactMillis >= 2 * settings.renewMillis
-        return longEnough && quietMillis > settings.leaseMillis + settings.takeoverMarginMillis + rankMillis
+    private fun isVacant(): Boolean {
+        val seen = catalogue.owner
+        val isSilent = seen?.record?.let { news?.isSilent(it.epoch) } ?: false
+        val sighting = OwnerSighting(seen, catalogue.contactSinceMillis, catalogue.silenceMillis(), isSilent)
+        return vacancy.isVacant(sighting, rank(), clock.monotonicMillis())
     }
 
     private suspend fun takeOver(
@@ -163,11 +153,6 @@
 
     private companion object {
         const val WATCH_MILLIS = 50L
-        const val RANK_STEP_MILLIS = 100L
-        const val FRESH_MILLIS = 1_700L
-
-        // The row of a silent owner has not changed for two renewals.
-        const val SUSPECT_MILLIS = 800L
         const val TAKEOVER_TIMEOUT_MILLIS = 700L
 
         // The others go first after a loss.
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Vacancy.kt
@@ -0,0 +1,57 @@
+package org.verbenagauge.entry.jobs.owner
+
+import org.verbenagauge.entry.jobs.front.SeenOwner
+
+/**
+ * What an entry knows of the owner.
+ *
+ * @property seen the owner's row; null before it was read.
+ * @property contactSinceMillis since when the store has answered without a gap; null while it does not.
+ * @property storeSilenceMillis time since the store last answered.
+ * @property isOwnerSilent whether the owner's beats have stopped coming.
+ */
+internal data class OwnerSighting(
+    val seen: SeenOwner?,
+    val contactSinceMillis: Long?,
+    val storeSilenceMillis: Long,
+    val isOwnerSilent: Boolean,
+)
+
+/**
+ * Says whether an entry may take the duty of the owner. A pure decision. A wrong guess is safe, since workers and the
+ * store refuse the old owner from the takeover on; it costs a moment without starts.
+ */
+internal class Vacancy(
+    private val entryId: String,
+    private val settings: OwnerSettings,
+) {
+    /** Whether the duty is vacant at [now] for the entry of [rank]; later ranks wait longer, so that they do not race. */
+    fun isVacant(
+        sighting: OwnerSighting,
+        rank: Int,
+        now: Long,
+    ): Boolean {
+        val seen = sighting.seen ?: return false
+        val contactMillis = sighting.contactSinceMillis?.let { now - it } ?: return false
+        if (sighting.storeSilenceMillis > FRESH_MILLIS) return false
+        val quietMillis = now - seen.seenAtMillis - rank * RANK_STEP_MILLIS
+        val ownerId = seen.record?.entryId.orEmpty()
+        return when {
+            ownerId.isEmpty() -> quietMillis >= 0
+            // The row is of an earlier process of this entry, which has ended.
+            ownerId == entryId -> true
+            sighting.isOwnerSilent -> quietMillis >= SUSPECT_MILLIS
+            // After an outage the owner gets the time of two renewals to be heard again.
+            contactMillis < 2 * settings.renewMillis -> false
+            else -> quietMillis > settings.leaseMillis + settings.takeoverMarginMillis
+        }
+    }
+
+    private companion object {
+        const val RANK_STEP_MILLIS = 100L
+        const val FRESH_MILLIS = 1_700L
+
+        // The row of a silent owner has not changed for two renewals.
+        const val SUSPECT_MILLIS = 800L
+    }
+}
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/MemoryRowStore.kt
@@ -0,0 +1,79 @@
+package org.verbenagauge.entry.jobs
+
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowExpectation
+import org.verbenagauge.entry.jobs.ports.RowFeed
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StoredRow
+import org.verbenagauge.entry.jobs.ports.TransactionOutcome
+
+/** What happens to the next transaction. */
+internal enum class StoreFault {
+    /** It is carried out and answered. */
+    NONE,
+
+    /** It is refused; nothing is done. */
+    REFUSED,
+
+    /** It is carried out, and the answer is lost. */
+    ANSWER_LOST,
+
+    /** It is lost on its way, which looks the same. */
+    CALL_LOST,
+}
+
+/** Rows in memory, with faults of the next transactions in [faults]. */
+internal class MemoryRowStore : RowStore {
+    val faults = ArrayDeque<StoreFault>()
+    private val rows = LinkedHashMap<Pair<String, String>, StoredRow>()
+    private var version = 0L
+    var isReadable = true
+
+    override suspend fun transact(
+        expectations: List<RowExpectation>,
+        changes: List<RowChange>,
+        timeoutMillis: Long,
+    ): TransactionOutcome =
+        when (faults.removeFirstOrNull() ?: StoreFault.NONE) {
+            StoreFault.NONE -> apply(expectations, changes)
+            StoreFault.REFUSED -> TransactionOutcome.Unavailable("refused")
+            StoreFault.CALL_LOST -> TransactionOutcome.Unknown("lost")
+            StoreFault.ANSWER_LOST -> {
+                apply(expectations, changes)
+                TransactionOutcome.Unknown("lost")
+            }
+        }
+
+    private fun apply(
+        expectations: List<RowExpectation>,
+        changes: List<RowChange>,
+    ): TransactionOutcome {
+        val isMet = expectations.all { (rows[it.table to it.key]?.version ?: 0) == it.version }
+        if (!isMet) return TransactionOutcome.Conflict(expectations.mapNotNull { rows[it.table to it.key] })
+        version++
+        changes.forEach { change ->
+            val key = change.table to change.key
+            val value = change.value
+            if (value == null) rows.remove(key) else rows[key] = StoredRow(change.table, change.key, value, version)
+        }
+        return TransactionOutcome.Applied(version)
+    }
+
+    override suspend fun read(
+        table: String,
+        key: String,
+        timeoutMillis: Long,
+    ): ReadResult<StoredRow?> = if (isReadable) ReadResult.Read(row(table, key)) else ReadResult.Failed("down")
+
+    fun row(
+        table: String,
+        key: String,
+    ): StoredRow? = rows[table to key]
+
+    override suspend fun readAll(table: String): ReadResult<RowBatch> =
+        ReadResult.Read(RowBatch(rows.values.filter { it.table == table }, version))
+
+    override fun feed(table: String): RowFeed = error("the tests of this store follow no table")
+}
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobOrderTest.kt
@@ -0,0 +1,46 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+
+private const val BACKLOG = 40
+private const val JOB_MILLIS = 500L
+
+private fun backlog(order: (RunTimes) -> JobOrder): Int {
+    // An outage has left jobs that are late already; new ones come every 100 ms to a pool that runs one job at a time.
+    val times = RunTimes().also { it.learn(QUEUE, JOB_MILLIS) }
+    val queue = configuration().queues.single()
+    val waiting =
+        (0 until BACKLOG).mapTo(ArrayList()) { JobEntry("old-$it", job(step(1)), queue, -5_000L + it, true) }
+    var onTime = 0
+    var now = 0L
+    val rule = order(times)
+    repeat(BACKLOG) { number ->
+        waiting += JobEntry("new-$number", job(step(1)), queue, now, false)
+        val next = rule.sorted(waiting, now).first()
+        waiting -= next
+        now += JOB_MILLIS
+        if (now <= next.objectiveAtMillis(times)) onTime++
+    }
+    return onTime
+}
+
+class JobOrderTest :
+    FunSpec({
+        test(
+            "behind a backlog that is late whatever is done, new jobs are served on time only by the objective order",
+        ) {
+            val naive = backlog { ArrivalOrder }
+            val chosen = backlog(::ObjectiveOrder)
+            naive shouldBe 0
+            chosen shouldBeGreaterThan BACKLOG / 2
+        }
+
+        test("lasting tasks go first") {
+            val queue = configuration().queues.single()
+            val short = JobEntry("a", job(step(1)), queue, 0, false)
+            val lasting = JobEntry("b", job(step(1, isLasting = true)), queue, 50, false)
+            ObjectiveOrder(RunTimes()).sorted(listOf(short, lasting), 60).map { it.id } shouldBe listOf("b", "a")
+        }
+    })
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/PoolSizerTest.kt
@@ -0,0 +1,59 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.model.Amount
+
+private const val MACHINE_CPU_MILLIS = 64_000L
+private const val STEP_MILLIS = 100L
+private const val MOVE_MILLIS = 1_500L
+
+// Cores that one queue asks for in each second of the auctions' calm day: a turn of nine seconds, then next to nothing.
+private val turnCores = listOf(270, 410, 305, 505, 770, 937, 533, 395, 125) + List(25) { if (it % 8 == 2) 8 else 0 }
+
+private class Replay(
+    private val sizer: PoolSizer,
+) {
+    private val sizes = ArrayList<Int>()
+
+    // Core seconds that found no room, and machine seconds paid for. A machine serves a while after it was asked for.
+    fun play(): Pair<Double, Double> {
+        var missing = 0.0
+        var paid = 0.0
+        val delaySteps = (MOVE_MILLIS / STEP_MILLIS).toInt()
+        repeat(turnCores.size * 10) { index ->
+            val needMillis = turnCores[index / 10] * 1_000L
+            val wanted = sizer.size(demand(needMillis), index * STEP_MILLIS)
+            sizes += wanted
+            val serving = minOf(wanted, sizes[maxOf(0, index - delaySteps)])
+            missing += maxOf(0L, needMillis - serving * MACHINE_CPU_MILLIS) / 1_000.0 / 10
+            paid += maxOf(wanted, serving) / 10.0
+        }
+        return missing to paid
+    }
+
+    private fun demand(needMillis: Long) =
+        PoolDemand("hall", Amount(needMillis), Amount(), Amount(MACHINE_CPU_MILLIS, 100_000, 0))
+}
+
+class PoolSizerTest :
+    FunSpec({
+        test("on a replayed turn a pool that follows the demand misses less and costs less than a fixed one") {
+            val (fixedMissing, fixedPaid) = Replay(FixedSizer(8)).play()
+            val (missing, paid) = Replay(TurnSizer()).play()
+            missing shouldBeLessThan fixedMissing
+            paid shouldBeLessThan fixedPaid
+            fixedMissing shouldBeGreaterThan 0.0
+        }
+
+        test("a pool keeps its size through a pause in its turn and shrinks after it") {
+            val sizer = TurnSizer()
+            val busy = PoolDemand("hall", Amount(640_000), Amount(), Amount(64_000, 100_000))
+            val idle = busy.copy(used = Amount())
+            val atPeak = sizer.size(busy, 0)
+            sizer.size(idle, 2_000) shouldBe atPeak
+            sizer.size(idle, 3_100) shouldBeLessThan atPeak
+        }
+    })
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobFrontTest.kt
@@ -0,0 +1,108 @@
+package org.verbenagauge.entry.jobs.front
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.clock.systemClock
+import org.verbenagauge.entry.jobs.MemoryRowStore
+import org.verbenagauge.entry.jobs.StoreFault
+import org.verbenagauge.entry.jobs.engine.job
+import org.verbenagauge.entry.jobs.engine.step
+import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.owner.StoredTables
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.jobs.records.StateRecord
+
+private const val JOB = "00000000000000aa"
+
+// Each look at the clock takes a while, so that a deadline passes without waiting for it.
+private class PassingClock : Clock {
+    private var now = 0L
+
+    override fun monotonicMillis(): Long {
+        now += 40
+        return now
+    }
+
+    override fun wallMillis(): Long = 0
+}
+
+private fun front(store: MemoryRowStore): JobFront {
+    val clock = PassingClock()
+    return JobFront(store, StateCatalogue(store, clock), clock)
+}
+
+private data class SubmitCase(
+    val name: String,
+    val faults: List<StoreFault>,
+    val outcome: Class<out SubmitOutcome>,
+    val isStored: Boolean,
+)
+
+private val forever = List(1_000) { StoreFault.CALL_LOST }
+
+class JobFrontTest :
+    FunSpec({
+        context("handing a job in") {
+            withData(
+                nameFn = { it.name },
+                SubmitCase("stored", emptyList(), SubmitOutcome.Accepted::class.java, isStored = true),
+                SubmitCase(
+                    "the answer was lost",
+                    listOf(StoreFault.ANSWER_LOST),
+                    SubmitOutcome.Accepted::class.java,
+                    isStored = true,
+                ),
+                SubmitCase(
+                    "refused twice, which is final and true",
+                    listOf(StoreFault.REFUSED, StoreFault.REFUSED),
+                    SubmitOutcome.Refused::class.java,
+                    isStored = false,
+                ),
+                SubmitCase(
+                    "refused after a lost call, which may still be stored",
+                    listOf(StoreFault.CALL_LOST) + List(1_000) { StoreFault.REFUSED },
+                    SubmitOutcome.Unsettled::class.java,
+                    isStored = false,
+                ),
+                SubmitCase("never answered", forever, SubmitOutcome.Unsettled::class.java, isStored = false),
+            ) { case ->
+                val store = MemoryRowStore()
+                store.faults += case.faults
+                val outcome = front(store).submit(JOB, job(step(1)), deadlineMillis = 200)
+                outcome.javaClass shouldBe case.outcome
+                (store.row(StoredTables.WORK, StoredTables.jobKey(JOB)) != null) shouldBe case.isStored
+            }
+        }
+
+        test("an id is one job, also after the job has ended") {
+            val store = MemoryRowStore()
+            val ended = RecordCodec.encode(StateRecord.serializer(), StateRecord("q", JobState.COMPLETED, 0))
+            store.transact(emptyList(), listOf(RowChange(StoredTables.STATES, StoredTables.stateKey(JOB), ended)), 1)
+            front(store).submit(JOB, job(step(1)), deadlineMillis = 200) shouldBe SubmitOutcome.Accepted
+            store.row(StoredTables.WORK, StoredTables.jobKey(JOB)) shouldBe null
+            front(store).lookup(JOB, 200) shouldBe JobLookup.Found(JobState.COMPLETED)
+        }
+
+        test("a job that nobody handed in is unknown, but only the store may say so") {
+            val store = MemoryRowStore()
+            front(store).lookup(JOB, 200) shouldBe JobLookup.Unknown
+            front(store).cancel(JOB, 200) shouldBe CancelOutcome.Unknown
+            store.isReadable = false
+            front(store).lookup(JOB, 200)::class shouldBe JobLookup.Unavailable::class
+            front(store).cancel(JOB, 200)::class shouldBe CancelOutcome.Unsettled::class
+        }
+
+        test("a cancellation is told only after it is stored") {
+            val store = MemoryRowStore()
+            val front = JobFront(store, StateCatalogue(store, systemClock()), PassingClock())
+            front.submit(JOB, job(step(1)), 200)
+            store.faults += List(1_000) { StoreFault.REFUSED }
+            front.cancel(JOB, 400)::class shouldBe CancelOutcome.Unsettled::class
+            store.faults.clear()
+            front.cancel(JOB, 10_000) shouldBe CancelOutcome.Cancelled
+            (store.row(StoredTables.WORK, StoredTables.cancelKey(JOB)) != null) shouldBe true
+        }
+    })
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VacancyTest.kt
@@ -0,0 +1,50 @@
+package org.verbenagauge.entry.jobs.owner
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.front.SeenOwner
+import org.verbenagauge.entry.jobs.records.OwnerRecord
+
+private data class VacancyCase(
+    val name: String,
+    val ownerId: String?,
+    val quietMillis: Long,
+    val isVacant: Boolean,
+    val rank: Int = 0,
+    val contactMillis: Long? = 60_000,
+    val storeSilenceMillis: Long = 0,
+    val isOwnerSilent: Boolean = false,
+)
+
+class VacancyTest :
+    FunSpec({
+        context("the duty of the owner") {
+            withData(
+                nameFn = { it.name },
+                VacancyCase("nobody has ever held it", null, 0, true),
+                VacancyCase("it was given up", "", 0, true),
+                VacancyCase("a later rank waits", "", 50, false, rank = 1),
+                VacancyCase("a later rank takes it in the end", "", 100, true, rank = 1),
+                VacancyCase("the owner renews", "other", 400, false),
+                VacancyCase("the lease has passed", "other", 1_950, true),
+                VacancyCase("the store has only just come back", "other", 5_000, false, contactMillis = 300),
+                VacancyCase("the store does not answer", "other", 5_000, false, contactMillis = null),
+                VacancyCase("the feed is silent", "other", 5_000, false, storeSilenceMillis = 1_800),
+                VacancyCase("an earlier process of this entry held it", "self", 0, true),
+                VacancyCase("the beats have stopped", "other", 800, true, isOwnerSilent = true),
+                VacancyCase("the beats have stopped, the row still changes", "other", 300, false, isOwnerSilent = true),
+            ) { case ->
+                val now = 100_000L
+                val record = case.ownerId?.let { OwnerRecord(it, epoch = 3, sequence = 9) }
+                val sighting =
+                    OwnerSighting(
+                        seen = SeenOwner(record, 5, now - case.quietMillis),
+                        contactSinceMillis = case.contactMillis?.let { now - it },
+                        storeSilenceMillis = case.storeSilenceMillis,
+                        isOwnerSilent = case.isOwnerSilent,
+                    )
+                Vacancy("self", OwnerSettings()).isVacant(sighting, case.rank, now) shouldBe case.isVacant
+            }
+        }
+    })
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
@@ -0,0 +1,41 @@
+package org.verbenagauge.platform
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+private const val GOOD =
+    "[entry]\nid = \"e\"\nzoneId = \"z\"\n[listeners]\ncaller = \"10.0.0.1:80\"\nreadiness = \"10.0.0.1:81\"\n" +
+        "[platform]\nstore = \"10.0.0.2:90\"\n"
+
+private data class SettingsCase(
+    val name: String,
+    val text: String,
+    val problem: String,
+)
+
+class PlatformSettingsTest :
+    FunSpec({
+        test("settings with the least that is needed are valid") {
+            val outcome = parsePlatformSettings(GOOD, "f.toml")
+            outcome
+                .shouldBeInstanceOf<PlatformSettingsOutcome.Valid>()
+                .settings.limits.leaseMaxMillis shouldBe 6_000
+        }
+
+        context("a mistake gives one message with file, field and mend") {
+            withData(
+                nameFn = { it.name },
+                SettingsCase("unknown field", GOOD + "stor = \"x\"\n", "f.toml: platform.stor"),
+                SettingsCase("no address", GOOD.replace("10.0.0.2:90", "store"), "f.toml: platform.store: write an"),
+                SettingsCase("missing table", GOOD.replace("[platform]\nstore = \"10.0.0.2:90\"\n", ""), "f.toml: "),
+                SettingsCase("blank id", GOOD.replace("\"e\"", "\"\""), "f.toml: entry.id: write a name"),
+                SettingsCase("no TOML", "[[[", "f.toml: is not valid TOML"),
+            ) { case ->
+                val outcome = parsePlatformSettings(case.text, "f.toml")
+                outcome.shouldBeInstanceOf<PlatformSettingsOutcome.Invalid>().problem shouldStartWith case.problem
+            }
+        }
+    })
