--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/AccountCommands.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/AccountCommands.kt
@@ -20,9 +20,9 @@
 import org.verbenagauge.entry.account.verifyAccount
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.state.ObjectStore
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.ObjectStore
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.lang.management.ManagementFactory
 import java.util.UUID
 import java.util.concurrent.ConcurrentSkipListMap
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/ControlStateCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/ControlStateCommand.kt
@@ -5,18 +5,18 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.serialization.json.Json
-import org.verbenagauge.entry.state.ApplyOutcome
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.Edit
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.TeamKey
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.control.ApplyOutcome
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.sha256Hex
 
 private const val NANOS_PER_MICRO = 1_000L
 private const val GC_ROUNDS = 3
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetRollout.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetRollout.kt
@@ -3,11 +3,11 @@
 import org.verbenagauge.entry.fleet.FleetExecutor
 import org.verbenagauge.entry.fleet.WavePlanner
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.StepPurpose
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 import org.verbenagauge.standin.fleet.FleetObserver
 import org.verbenagauge.standin.fleet.VirtualEntry
 import org.verbenagauge.standin.fleet.VirtualFleet
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetScenario.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/FleetScenario.kt
@@ -1,13 +1,13 @@
 package org.verbenagauge.bench
 
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.Wave
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Wave
 import org.verbenagauge.standin.fleet.VirtualInstance
 import org.verbenagauge.standin.fleet.VirtualPlatform
 
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/PeersCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/PeersCommand.kt
@@ -20,9 +20,9 @@
 import org.verbenagauge.entry.settings.PeerSettings
 import org.verbenagauge.entry.settings.PlatformSettings
 import org.verbenagauge.entry.state.EntryState
-import org.verbenagauge.entry.state.Platform
 import org.verbenagauge.entry.state.entryState
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.store.Platform
+import org.verbenagauge.entry.state.store.httpPlatform
 import org.verbenagauge.standin.PlatformStandIn
 import java.lang.management.ManagementFactory
 
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/ShareNearnessCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/ShareNearnessCommand.kt
@@ -5,8 +5,8 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import org.verbenagauge.entry.admission.JobRequest
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Team
 import kotlin.math.abs
 import kotlin.random.Random
 
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/UrgentBurstCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/UrgentBurstCommand.kt
@@ -6,9 +6,9 @@
 import kotlinx.cli.default
 import org.verbenagauge.entry.Reason
 import org.verbenagauge.entry.admission.JobRequest
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Team
 import kotlin.math.ceil
 import kotlin.math.ln
 import kotlin.random.Random
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsFleet.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsFleet.kt
@@ -7,9 +7,9 @@
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.RightsAction
 import org.verbenagauge.entry.rights.RightsView
-import org.verbenagauge.entry.state.HolderId
-import org.verbenagauge.entry.state.RightsHolder
-import org.verbenagauge.entry.state.RightsState
+import org.verbenagauge.entry.state.control.HolderId
+import org.verbenagauge.entry.state.control.RightsHolder
+import org.verbenagauge.entry.state.control.RightsState
 import java.util.PriorityQueue
 import kotlin.random.Random
 
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ConfigCommands.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/ConfigCommands.kt
@@ -10,8 +10,8 @@
 import org.verbenagauge.entry.operator.FieldDifference
 import org.verbenagauge.entry.operator.PreviewView
 import org.verbenagauge.entry.operator.adminJson
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.validate
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.validate
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/MembersCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/MembersCommand.kt
@@ -7,14 +7,14 @@
 import kotlinx.coroutines.runBlocking
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.Membership
-import org.verbenagauge.entry.state.MembershipEdit
-import org.verbenagauge.entry.state.ProposeOutcome
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.RemoveCause
-import org.verbenagauge.entry.state.changeLog
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.control.Membership
+import org.verbenagauge.entry.state.control.MembershipEdit
+import org.verbenagauge.entry.state.control.RemoveCause
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.log.changeLog
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.httpPlatform
 import java.util.UUID
 import kotlin.system.exitProcess
 
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/SegmentSources.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/SegmentSources.kt
@@ -2,8 +2,8 @@
 
 import org.verbenagauge.entry.account.ACCOUNT_PREFIX
 import org.verbenagauge.entry.account.SegmentSource
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.httpPlatform
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/StateCommands.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/StateCommands.kt
@@ -12,8 +12,8 @@
 import org.verbenagauge.entry.operator.WaveView
 import org.verbenagauge.entry.operator.adminJson
 import org.verbenagauge.entry.operator.auditProblems
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveCommand
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
 import java.time.Instant
 
 private const val AUDIT_PAGE = 500
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/TeamCommands.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/TeamCommands.kt
@@ -10,9 +10,9 @@
 import org.verbenagauge.entry.operator.GrantedKey
 import org.verbenagauge.entry.operator.KeyRequest
 import org.verbenagauge.entry.operator.adminJson
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Team
 
 internal fun teamCommands() =
     CommandGroup(
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/DemoConfiguration.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/DemoConfiguration.kt
@@ -1,13 +1,13 @@
 package org.verbenagauge.standin
 
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.TeamKey
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.sha256Hex
 
 /** Key of the demo team [teamId]. */
 public fun demoKey(teamId: String): String = "demo-key-of-$teamId"
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/MemoryTable.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/MemoryTable.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.standin
 
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.RowWrite
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.RowWrite
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.TreeMap
 
 /** Rows of the table service in memory; every transaction is atomic. */
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformCommand.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformCommand.kt
@@ -4,8 +4,8 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 private const val INSTANCES_PER_RACK = 4
 
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/SeedCommand.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/SeedCommand.kt
@@ -7,13 +7,13 @@
 import kotlinx.cli.required
 import kotlinx.coroutines.runBlocking
 import org.verbenagauge.entry.clock.systemClock
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.Edit
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.ProposeOutcome
-import org.verbenagauge.entry.state.changeLog
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.log.changeLog
+import org.verbenagauge.entry.state.store.httpPlatform
 
 private const val TIMEOUT_MILLIS = 2_000L
 private const val AUTHOR = "demo"
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualEntry.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualEntry.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.standin.fleet
 
 import org.verbenagauge.entry.fleet.FleetExecutor
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.store.ListedInstance
 
 /**
  * An entry instance in virtual time: it places work by its view, and drives when it has an executor.
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualFleet.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualFleet.kt
@@ -1,11 +1,11 @@
 package org.verbenagauge.standin.fleet
 
 import org.verbenagauge.entry.fleet.FleetAction
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstanceAction
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.store.InstanceAction
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 import kotlin.random.Random
 
 private const val FOLLOW_UPS = 2_000
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualInstance.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualInstance.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.standin.fleet
 
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 /**
  * A machine in virtual time.
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualPlatform.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/fleet/VirtualPlatform.kt
@@ -1,11 +1,11 @@
 package org.verbenagauge.standin.fleet
 
-import org.verbenagauge.entry.state.ApplyOutcome
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.Edit
-import org.verbenagauge.entry.state.InstanceAction
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.control.ApplyOutcome
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.store.InstanceAction
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 /** Outcome of a proposal to [VirtualPlatform]. */
 public enum class VirtualOutcome {
--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/InstanceListTest.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/InstanceListTest.kt
@@ -2,9 +2,9 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.httpPlatform
 
 class InstanceListTest :
     FunSpec({
--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/LoopbackEntry.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/LoopbackEntry.kt
@@ -19,8 +19,8 @@
 import org.verbenagauge.entry.settings.LimitSettings
 import org.verbenagauge.entry.settings.ListenerSettings
 import org.verbenagauge.entry.settings.PlatformSettings
-import org.verbenagauge.entry.state.changeLog
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.log.changeLog
+import org.verbenagauge.entry.state.store.httpPlatform
 
 private const val HOST = "127.0.0.1"
 private const val POLL_MILLIS = 5L
--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetOracle.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetOracle.kt
@@ -1,11 +1,11 @@
 package org.verbenagauge.standin.fleet
 
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.StepPhase
-import org.verbenagauge.entry.state.StepPurpose
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.StepPhase
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 private const val LAST_EDITS = 8
 
--- a/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetSchedule.kt
+++ b/verbenagauge-standin/src/test/kotlin/org/verbenagauge/standin/fleet/FleetSchedule.kt
@@ -5,20 +5,20 @@
 import org.verbenagauge.entry.fleet.PoolDemand
 import org.verbenagauge.entry.fleet.WaveStage
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstanceMove
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.MaintenanceHours
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveCommand
-import org.verbenagauge.entry.state.WaveReserve
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.InstanceMove
+import org.verbenagauge.entry.state.document.MaintenanceHours
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
+import org.verbenagauge.entry.state.document.WaveReserve
+import org.verbenagauge.entry.state.store.InstancePhase
 import kotlin.random.Random
 
 private const val STEP_MILLIS = 5_000L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -41,13 +41,13 @@
 import org.verbenagauge.entry.rights.entryRights
 import org.verbenagauge.entry.rights.fixedSplit
 import org.verbenagauge.entry.settings.EntrySettings
-import org.verbenagauge.entry.state.ControlState
 import org.verbenagauge.entry.state.FleetView
-import org.verbenagauge.entry.state.InForceLog
-import org.verbenagauge.entry.state.Platform
-import org.verbenagauge.entry.state.QueueClass
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.document.QueueClass
 import org.verbenagauge.entry.state.entryState
-import org.verbenagauge.entry.state.httpPlatform
+import org.verbenagauge.entry.state.log.InForceLog
+import org.verbenagauge.entry.state.store.Platform
+import org.verbenagauge.entry.state.store.httpPlatform
 
 private const val STOP_POLL_MILLIS = 20L
 private const val LISTENER_GRACE_MILLIS = 500L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountWriter.kt
@@ -13,10 +13,10 @@
 import org.verbenagauge.entry.peers.PeerListener
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.ObjectStore
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.store.ObjectStore
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/EntryAccount.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/EntryAccount.kt
@@ -10,7 +10,7 @@
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.settings.IdentitySettings
 import org.verbenagauge.entry.state.EntryState
-import org.verbenagauge.entry.state.ObjectStore
+import org.verbenagauge.entry.state.store.ObjectStore
 import kotlin.random.Random
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -10,7 +10,7 @@
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.Rights
 import org.verbenagauge.entry.rights.noFleetService
-import org.verbenagauge.entry.state.QueueClass
+import org.verbenagauge.entry.state.document.QueueClass
 
 /**
  * Decides when a waiting request starts, on which endpoint, whether it is tried again, and what is refused,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobRequest.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobRequest.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.entry.admission
 
 import org.verbenagauge.entry.Reason
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Team
 
 /**
  * A request that was checked and asks for a start.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/JobService.kt
@@ -20,11 +20,11 @@
 import org.verbenagauge.entry.rights.FleetService
 import org.verbenagauge.entry.rights.Rights
 import org.verbenagauge.entry.rights.noFleetService
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.Freshness
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.force.Freshness
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/PoolLane.kt
@@ -6,7 +6,7 @@
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.placement.PlacementNotice
 import org.verbenagauge.entry.rights.Rights
-import org.verbenagauge.entry.state.QueueClass
+import org.verbenagauge.entry.state.document.QueueClass
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Waiting.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Waiting.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.admission
 
-import org.verbenagauge.entry.state.QueueClass
+import org.verbenagauge.entry.state.document.QueueClass
 
 /**
  * One waiting request.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/BudgetPlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/BudgetPlanner.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.WaveReserve
+import org.verbenagauge.entry.state.document.WaveReserve
 
 /**
  * Keeps the budget of every pool that decides the length of the wave in full use, and takes less of the
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetAction.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstanceAction
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.store.InstanceAction
 
 /** What the shell must do after a decision of the fleet manager. */
 public sealed interface FleetAction {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetExecutor.kt
@@ -1,14 +1,14 @@
 package org.verbenagauge.entry.fleet
 
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.StepPhase
-import org.verbenagauge.entry.state.StepPurpose
-import org.verbenagauge.entry.state.WaveHold
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.control.StepPhase
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.control.WaveHold
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.store.ListedInstance
 
 private const val REPLAN_MILLIS = 5_000L
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetManager.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/FleetManager.kt
@@ -12,11 +12,11 @@
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InForce
-import org.verbenagauge.entry.state.ProposeOutcome
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.force.InForce
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.UUID
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/Lending.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/Lending.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.StepPurpose
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.control.StepPurpose
 
 /**
  * Decides when a spare instance covers a pool. It pays only for a pool that has no room and will get none
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/ListRecorder.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/ListRecorder.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.entry.fleet
 
 import org.verbenagauge.entry.clock.Clock
-import org.verbenagauge.entry.state.InstanceService
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.ReadOutcome
+import org.verbenagauge.entry.state.store.InstanceService
+import org.verbenagauge.entry.state.store.ListedInstance
+import org.verbenagauge.entry.state.store.ReadOutcome
 
 /**
  * Answer of the platform to a question for its list.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/MoveDirector.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/MoveDirector.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstanceMove
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.StepPurpose
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.document.InstanceMove
 
 /** Decides which move of the document begins next. */
 internal class MoveDirector(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/ProgressReport.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/ProgressReport.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.InstanceMove
-import org.verbenagauge.entry.state.MaintenanceHours
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.WaveCommand
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.document.InstanceMove
+import org.verbenagauge.entry.state.document.MaintenanceHours
+import org.verbenagauge.entry.state.document.WaveCommand
 
 private const val EXPECTED_STEP_MILLIS = 360_000L
 private const val MILLIS_PER_MINUTE = 60_000L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/Sightings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/Sightings.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.FleetState
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 private val unknownPlace = InstancePlace(rackId = "", zoneId = "")
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/StepDriver.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/StepDriver.kt
@@ -1,17 +1,17 @@
 package org.verbenagauge.entry.fleet
 
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.InstanceAction
-import org.verbenagauge.entry.state.InstanceStep
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.PoolHistory
-import org.verbenagauge.entry.state.StepPhase
-import org.verbenagauge.entry.state.StepPurpose
-import org.verbenagauge.entry.state.WaveCommand
-import org.verbenagauge.entry.state.removalOf
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.InstanceStep
+import org.verbenagauge.entry.state.control.PoolHistory
+import org.verbenagauge.entry.state.control.StepPhase
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.control.removalOf
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.WaveCommand
+import org.verbenagauge.entry.state.store.InstanceAction
+import org.verbenagauge.entry.state.store.ListedInstance
 
 /**
  * What is to be done next for one step.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/StepMemory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/StepMemory.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.FleetState
-import org.verbenagauge.entry.state.InstanceStep
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.control.InstanceStep
 
 /**
  * What this entry has seen of a step with its own eyes and on its own clock; a new driver begins anew.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveDirector.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveDirector.kt
@@ -1,13 +1,13 @@
 package org.verbenagauge.entry.fleet
 
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.WaveCommand
-import org.verbenagauge.entry.state.WaveHold
-import org.verbenagauge.entry.state.poolRooms
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.control.WaveHold
+import org.verbenagauge.entry.state.control.poolRooms
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.WaveCommand
 
 private const val MILLIS_PER_MINUTE = 60_000L
 private const val MINUTES_PER_DAY = 24 * 60
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WavePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WavePlanner.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.Wave
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.document.Wave
 
 /** Decides which instances a wave takes out next. A pure decision. */
 public interface WavePlanner {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveProgress.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveProgress.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.StepPhase
-import org.verbenagauge.entry.state.StepPurpose
+import org.verbenagauge.entry.state.control.StepPhase
+import org.verbenagauge.entry.state.control.StepPurpose
 
 /**
  * What operators read of waves, moves and pools.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveSituation.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/WaveSituation.kt
@@ -1,13 +1,13 @@
 package org.verbenagauge.entry.fleet
 
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetState
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.StepPhase
-import org.verbenagauge.entry.state.StepPurpose
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveRecord
-import org.verbenagauge.entry.state.takesPart
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.StepPhase
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.control.WaveRecord
+import org.verbenagauge.entry.state.control.takesPart
+import org.verbenagauge.entry.state.document.Wave
 
 private const val FINISHED_PER_TOLERATED_LOSS = 50
 private const val HARM_RATIO = 3
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/ClaimSettlements.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/ClaimSettlements.kt
@@ -5,12 +5,12 @@
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.RowCondition
-import org.verbenagauge.entry.state.RowWrite
-import org.verbenagauge.entry.state.TableService
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.RowCondition
+import org.verbenagauge.entry.state.store.RowWrite
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val PAUSE_MILLIS = 500L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/EntryClaims.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/EntryClaims.kt
@@ -4,7 +4,7 @@
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.state.TableService
+import org.verbenagauge.entry.state.store.TableService
 
 private const val CLOSE_MILLIS = 3_000L
 private const val CLOSE_POLL_MILLIS = 20L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/TableClaims.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/TableClaims.kt
@@ -7,12 +7,12 @@
 import org.verbenagauge.entry.Reason
 import org.verbenagauge.entry.Verdict
 import org.verbenagauge.entry.clock.Clock
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.RowCondition
-import org.verbenagauge.entry.state.RowWrite
-import org.verbenagauge.entry.state.TableService
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.RowCondition
+import org.verbenagauge.entry.state.store.RowWrite
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 
 private const val CLAIM_ATTEMPTS = 3
 private const val CLAIM_PAUSE_MILLIS = 20L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -60,12 +60,17 @@
     fun ended(job: JobEntry) {
         val change = JobChange(job.id, job.queue.name, job.state, progress = null)
         endings[job.id] = change
-        endedIds += job.id
-        earlyCancellations -= job.id
-        if (endedIds.size > REMEMBERED_ENDS) endedIds.remove(endedIds.first())
+        rememberEnd(job.id)
         changes[job.id] = change
     }
 
+    /** Takes note that the job [id] has ended, now or in an earlier epoch. */
+    fun rememberEnd(id: String) {
+        endedIds += id
+        earlyCancellations -= id
+        if (endedIds.size > REMEMBERED_ENDS) endedIds.remove(endedIds.first())
+    }
+
     /** Jobs whose cancellation was read before the job itself. */
     val earlyCancellations = LinkedHashSet<String>()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -13,6 +13,7 @@
 import org.verbenagauge.entry.jobs.ports.MachineOutcome
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
 import org.verbenagauge.entry.jobs.records.RecordCodec
@@ -156,7 +157,7 @@
         val record = RecordCodec.encode(WaveRecord.serializer(), progress.record())
         val changes =
             listOf(
-                RowChange(WAVE_TABLE, progress.wave.number.toString(), record),
+                RowChange(wavePlace, progress.wave.number.toString(), record),
                 ports.reports.change(progress.wave, progress.isCompleted),
             )
         val outcome = ports.store.transact(emptyList(), changes, STORE_TIMEOUT_MILLIS)
@@ -167,7 +168,7 @@
 
     private suspend fun progress(wave: MaintenanceWave): WaveProgress? {
         progressByWave[wave.number]?.let { return it }
-        val read = ports.store.read(WAVE_TABLE, wave.number.toString(), STORE_TIMEOUT_MILLIS)
+        val read = ports.store.read(wavePlace, wave.number.toString(), STORE_TIMEOUT_MILLIS)
         if (read !is ReadResult.Read) return null
         val record = read.value?.value?.let { RecordCodec.decode(WaveRecord.serializer(), it) } ?: WaveRecord()
         val progress = WaveProgress(wave, record, clock.monotonicMillis())
@@ -178,7 +179,7 @@
 
     private companion object {
         const val SETTLE_READS = 2
-        const val WAVE_TABLE = "waves"
+        val wavePlace = RowPlace("waves")
         const val TICK_MILLIS = 100L
 
         const val STORE_TIMEOUT_MILLIS = 700L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
@@ -72,17 +72,10 @@
         record: JobRecord,
         deadlineMillis: Long,
     ): SubmitOutcome {
-        val conditions =
-            listOf(
-                RowExpectation(StoredTables.WORK, StoredTables.jobKey(jobId), 0),
-                RowExpectation(StoredTables.STATES, StoredTables.stateKey(jobId), 0),
-            )
-        val change =
-            RowChange(
-                StoredTables.WORK,
-                StoredTables.jobKey(jobId),
-                RecordCodec.encode(JobRecord.serializer(), record),
-            )
+        val place = StoredTables.work(jobId)
+        val key = StoredTables.jobKey(jobId)
+        val conditions = listOf(RowExpectation(place, key, 0))
+        val change = RowChange(place, key, RecordCodec.encode(JobRecord.serializer(), record))
         var mayBeStored = false
         var refusals = 0
         var cause = "no time left"
@@ -123,14 +116,14 @@
         return readThrough(jobId, deadlineMillis)
     }
 
-    // A job leaves the table of work in the transaction that stores its final state, so the order of reads matters.
+    // The row of a job stays until its state is no longer kept.
     private suspend fun readThrough(
         jobId: String,
         deadlineMillis: Long,
     ): JobLookup {
-        val work = store.read(StoredTables.WORK, StoredTables.jobKey(jobId), attemptMillis(deadlineMillis))
+        val work = store.read(StoredTables.work(jobId), StoredTables.jobKey(jobId), attemptMillis(deadlineMillis))
         if (work !is ReadResult.Read) return JobLookup.Unavailable("$work")
-        val state = store.read(StoredTables.STATES, StoredTables.stateKey(jobId), attemptMillis(deadlineMillis))
+        val state = store.read(StoredTables.states, StoredTables.stateKey(jobId), attemptMillis(deadlineMillis))
         if (state !is ReadResult.Read) return JobLookup.Unavailable("$state")
         val record = state.value?.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
         val found =
@@ -151,7 +144,7 @@
             is JobLookup.Unavailable -> return CancelOutcome.Unsettled(lookup.cause)
             is JobLookup.Found -> if (lookup.state.isFinal) return CancelOutcome.Cancelled
         }
-        val change = RowChange(StoredTables.WORK, StoredTables.cancelKey(jobId), CANCEL_MARK)
+        val change = RowChange(StoredTables.work(jobId), StoredTables.cancelKey(jobId), CANCEL_MARK)
         var cause = "no time left"
         while (clock.monotonicMillis() < deadlineMillis) {
             when (val outcome = store.transact(emptyList(), listOf(change), attemptMillis(deadlineMillis))) {
@@ -177,7 +170,7 @@
 
     private companion object {
         // An answer takes some milliseconds; one that has not come by then was lost more likely than not.
-        const val ATTEMPT_MILLIS = 700L
+        const val ATTEMPT_MILLIS = 900L
         const val MIN_ATTEMPT_MILLIS = 20L
         const val RETRY_MILLIS = 50L
         const val MOST_REFUSALS = 2
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
@@ -29,7 +29,7 @@
     store: RowStore,
     private val clock: Clock,
 ) {
-    private val follower = TableFollower(store, StoredTables.STATES, FEED_WAIT_MILLIS, FEED_PAUSE_MILLIS)
+    private val follower = TableFollower(store, listOf(StoredTables.states), FEED_WAIT_MILLIS, FEED_PAUSE_MILLIS)
     private val states =
         object : LinkedHashMap<String, JobState>() {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobState>) = size > MOST_STATES
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Janitor.kt
@@ -0,0 +1,76 @@
+package org.verbenagauge.entry.jobs.owner
+
+import kotlinx.coroutines.delay
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.TransactionOutcome
+
+/**
+ * Clears up after jobs that have ended: their rows shrink to a mark, which keeps the id taken, and are removed with their
+ * state after the time for which callers may ask.
+ */
+internal class Janitor(
+    private val store: RowStore,
+    private val clock: Clock,
+) {
+    private val unmarked = LinkedHashSet<String>()
+    private val endedAtUnixMillis = LinkedHashMap<String, Long>()
+    private val retired = ArrayDeque<String>()
+
+    /** Takes note that [jobId] ended and that this is stored. */
+    fun ended(
+        jobId: String,
+        unixMillis: Long,
+    ) {
+        unmarked += jobId
+        endedAtUnixMillis[jobId] = unixMillis
+    }
+
+    /** Takes up to [most] keys of states that nobody may ask for any more. */
+    fun takeRetired(most: Int): List<String> = List(minOf(most, retired.size)) { retired.removeFirst() }
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        while (true) {
+            delay(ROUND_MILLIS)
+            mark()
+            retire()
+        }
+    }
+
+    private suspend fun mark() {
+        unmarked.groupBy { StoredTables.work(it) }.forEach { (place, all) ->
+            val jobIds = all.take(MOST_JOBS)
+            val marks = jobIds.map { RowChange(place, StoredTables.jobKey(it), StoredTables.endedMark) }
+            val cancels = jobIds.map { RowChange(place, StoredTables.cancelKey(it), null) }
+            if (isApplied(marks + cancels)) unmarked -= jobIds.toSet()
+        }
+    }
+
+    private suspend fun retire() {
+        val oldest = clock.wallMillis() - KEEP_MILLIS
+        val old = endedAtUnixMillis.entries.filter { it.value < oldest && it.key !in unmarked }.map { it.key }
+        old.groupBy { StoredTables.work(it) }.forEach { (place, all) ->
+            val jobIds = all.take(MOST_JOBS)
+            if (isApplied(jobIds.map { RowChange(place, StoredTables.jobKey(it), null) })) {
+                endedAtUnixMillis -= jobIds.toSet()
+                retired += jobIds.map { StoredTables.stateKey(it) }
+            }
+        }
+    }
+
+    private suspend fun isApplied(changes: List<RowChange>): Boolean =
+        store.transact(emptyList(), changes, TIMEOUT_MILLIS) is TransactionOutcome.Applied
+
+    private companion object {
+        const val ROUND_MILLIS = 4_000L
+
+        // Two rows a job stay below the 100 entries of one transaction.
+        const val MOST_JOBS = 45
+        const val TIMEOUT_MILLIS = 1_000L
+
+        // Callers may ask for two minutes.
+        const val KEEP_MILLIS = 600_000L
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
@@ -68,8 +68,8 @@
         val write = pending ?: return ChainOutcome.Stored
         val sentAtMillis = clock.monotonicMillis()
         if (write.firstSentAtMillis == null) write.firstSentAtMillis = sentAtMillis
-        val row = RowChange(StoredTables.STATES, StoredTables.OWNER_KEY, encode(write.record))
-        val condition = RowExpectation(StoredTables.STATES, StoredTables.OWNER_KEY, version)
+        val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, encode(write.record))
+        val condition = RowExpectation(StoredTables.states, StoredTables.OWNER_KEY, version)
         return when (val outcome = store.transact(listOf(condition), write.changes + row, timeoutMillis)) {
             is TransactionOutcome.Applied -> settle(write, outcome.version, sentAtMillis)
             is TransactionOutcome.Conflict -> conflict(write, outcome)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -43,6 +43,8 @@
     private val ports: OwnerPorts,
     private val chain: OwnerChain,
     private val engine: JobEngine,
+    private val janitor: Janitor,
+    private val workVersion: Long,
     private val clock: Clock,
     private val settings: OwnerSettings,
     private val log: EventLog,
@@ -51,7 +53,7 @@
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val drivers = HashMap<String, WorkerDriver>()
     private val ended = CompletableDeferred<String>()
-    private val writer = OwnerWriter(chain, engine, clock, settings)
+    private val writer = OwnerWriter(chain, engine, clock, settings, janitor)
     private val suspension = SuspensionDetector(clock)
     private var releaseRequested = false
 
@@ -71,9 +73,10 @@
         coroutineScope {
             val parts =
                 launch {
-                    launch { WorkFollower(ports.store, engine, clock, ::wake).run() }
+                    launch { WorkFollower(ports.store, engine, clock, workVersion, ::wake).run() }
                     launch { WorkerFollower(ports.workerList, engine, clock, ::wake).run() }
                     launch { decideLoop(this) }
+                    launch { janitor.run() }
                     news?.let { launch { it.beat(engine.state.epoch) } }
                     ports.waves?.let { waves ->
                         val board = MachineBoard(waves.machines, clock)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -19,6 +19,7 @@
     private val engine: JobEngine,
     private val clock: Clock,
     private val settings: OwnerSettings,
+    private val janitor: Janitor,
 ) {
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val shownStates = HashMap<String, String>()
@@ -65,10 +66,12 @@
         val marks = if (engine.state.hasChanges) emptyList() else engine.seenEnds()
         val waiters = flushed
         if (marks.isNotEmpty()) flushed = CompletableDeferred()
-        chain.begin(changes.flatMap(::rows), engine.pendingByQueue())
+        val retired = janitor.takeRetired(MOST_RETIRED).map { RowChange(StoredTables.states, it, null) }
+        chain.begin(changes.flatMap(::rows) + retired, engine.pendingByQueue())
         val lost = settle()
         if (lost != null) return lost
         engine.stored(marks)
+        changes.filter { it.state.isFinal }.forEach { janitor.ended(it.jobId, clock.wallMillis()) }
         if (marks.isNotEmpty()) waiters.complete(Unit)
         onStored(changes.associate { it.jobId to it.state })
         return null
@@ -89,26 +92,25 @@
         val rows = ArrayList<RowChange>()
         val progress = change.progress
         if (progress == null) {
-            rows += RowChange(StoredTables.PROGRESS, change.jobId, null)
-            rows += RowChange(StoredTables.WORK, StoredTables.jobKey(change.jobId), null)
-            rows += RowChange(StoredTables.WORK, StoredTables.cancelKey(change.jobId), null)
+            rows += RowChange(StoredTables.progress, change.jobId, null)
         } else {
             val bytes = RecordCodec.encode(ProgressRecord.serializer(), progress)
-            rows += RowChange(StoredTables.PROGRESS, change.jobId, bytes)
+            rows += RowChange(StoredTables.progress, change.jobId, bytes)
         }
         if (shownStates[change.jobId] != change.state.name) {
             shownStates[change.jobId] = change.state.name
             val record = StateRecord(change.queueName, change.state, clock.wallMillis())
             val bytes = RecordCodec.encode(StateRecord.serializer(), record)
-            rows += RowChange(StoredTables.STATES, StoredTables.stateKey(change.jobId), bytes)
+            rows += RowChange(StoredTables.states, StoredTables.stateKey(change.jobId), bytes)
         }
         if (progress == null) shownStates.remove(change.jobId)
         return rows
     }
 
     private companion object {
-        // Four rows a job and the row of the owner stay below the 100 entries of one transaction.
-        const val MOST_JOBS = 24
+        // Two rows a job, what is retired and the row of the owner stay below the 100 entries of one transaction.
+        const val MOST_JOBS = 40
+        const val MOST_RETIRED = 15
         const val WRITE_TIMEOUT_MILLIS = 400L
         const val RETRY_MILLIS = 60L
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -11,11 +11,13 @@
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.jobs.records.StateRecord
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
@@ -88,8 +90,8 @@
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
             ports.store.transact(
-                listOf(RowExpectation(StoredTables.STATES, StoredTables.OWNER_KEY, seen.version)),
-                listOf(RowChange(StoredTables.STATES, StoredTables.OWNER_KEY, OwnerChain.encode(record))),
+                listOf(RowExpectation(StoredTables.states, StoredTables.OWNER_KEY, seen.version)),
+                listOf(RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(record))),
                 TAKEOVER_TIMEOUT_MILLIS,
             )
         if (outcome !is TransactionOutcome.Applied) {
@@ -101,14 +103,18 @@
         val chain = OwnerChain(ports.store, clock, record, outcome.version, sentAtMillis)
         val newEngine = JobEngine(record.epoch, limits, clock.monotonicMillis())
         newEngine.configure(current)
-        if (inherit(newEngine)) serve(chain, newEngine)
+        val janitor = Janitor(ports.store, clock)
+        val workVersion = inherit(newEngine, janitor) ?: return
+        serve(chain, newEngine, janitor, workVersion)
     }
 
     private suspend fun serve(
         chain: OwnerChain,
         newEngine: JobEngine,
+        janitor: Janitor,
+        workVersion: Long,
     ) {
-        val newTerm = OwnerTerm(ports, chain, newEngine, clock, settings, log, news)
+        val newTerm = OwnerTerm(ports, chain, newEngine, janitor, workVersion, clock, settings, log, news)
         engine = newEngine
         term = newTerm
         configuration?.let(newEngine::configure)
@@ -122,14 +128,26 @@
         delay(AFTER_LOSS_MILLIS)
     }
 
-    private suspend fun inherit(newEngine: JobEngine): Boolean {
-        val work = readAll(StoredTables.WORK) ?: return false
-        val progress = readAll(StoredTables.PROGRESS) ?: return false
-        val progressByJob = progress.associateBy { it.key }
+    // Returns the version up to which accepted jobs were read; null when the store did not answer.
+    private suspend fun inherit(
+        newEngine: JobEngine,
+        janitor: Janitor,
+    ): Long? {
+        val states = readAll(listOf(StoredTables.states)) ?: return null
+        val work = readAll(StoredTables.work) ?: return null
+        val progress = readAll(listOf(StoredTables.progress)) ?: return null
+        states.rows.forEach { row ->
+            val jobId = StoredTables.jobOf(row.key) ?: return@forEach
+            val record = row.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
+            if (record?.state?.isFinal == true) {
+                newEngine.state.rememberEnd(jobId)
+                janitor.ended(jobId, record.sinceUnixMillis)
+            }
+        }
+        val progressByJob = progress.rows.associateBy { it.key }
         val now = clock.monotonicMillis()
         val wallMillis = clock.wallMillis()
-        val cancelled = work.mapNotNullTo(HashSet()) { StoredTables.cancelledOf(it.key) }
-        work.forEach { row ->
+        work.rows.forEach { row ->
             val jobId = StoredTables.jobOf(row.key) ?: return@forEach
             val record = row.value?.let { RecordCodec.decode(JobRecord.serializer(), it) } ?: return@forEach
             val known =
@@ -137,16 +155,16 @@
             val ageMillis = (wallMillis - record.acceptedUnixMillis).coerceAtLeast(0)
             newEngine.inherit(jobId, record, known, now - ageMillis, now)
         }
-        cancelled.forEach { newEngine.cancel(it, now) }
-        log.write(Event.JOBS_INHERITED, "${work.size} rows of work, ${progress.size} of progress")
-        return true
+        work.rows.mapNotNull { StoredTables.cancelledOf(it.key) }.forEach { newEngine.cancel(it, now) }
+        log.write(Event.JOBS_INHERITED, "${work.rows.size} rows of work, ${progress.rows.size} of progress")
+        return work.version
     }
 
-    private suspend fun readAll(table: String) =
-        when (val read = ports.store.readAll(table)) {
-            is ReadResult.Read -> read.value.rows
+    private suspend fun readAll(places: List<RowPlace>) =
+        when (val read = ports.store.readAll(places)) {
+            is ReadResult.Read -> read.value
             else -> {
-                log.write(Event.OWNERSHIP_NOT_TAKEN, "table '$table' could not be read: $read")
+                log.write(Event.OWNERSHIP_NOT_TAKEN, "'${places.first().table}' could not be read: $read")
                 null
             }
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
@@ -1,34 +1,51 @@
 package org.verbenagauge.entry.jobs.owner
 
-/** Names of the tables and keys in the platform's store. */
-internal object StoredTables {
-    /** Accepted jobs and cancellations that wait for the owner. */
-    const val WORK = "work"
+import org.verbenagauge.entry.jobs.ports.RowPlace
 
+/** Places and keys of rows in the platform's store. */
+internal object StoredTables {
     /** Progress of jobs, for the next owner. */
-    const val PROGRESS = "progress"
+    val progress = RowPlace("progress", OWNER_PARTITION)
 
     /** States of jobs for all entries, and the row of the owner. */
-    const val STATES = "states"
+    val states = RowPlace("states", OWNER_PARTITION)
 
-    /** Key of the owner's row in [STATES]. */
+    /** All places of accepted jobs and cancellations. */
+    val work: List<RowPlace> = List(WORK_PARTITIONS) { RowPlace(WORK_TABLE, "w$it") }
+
+    /** Key of the owner's row in [states]. */
     const val OWNER_KEY = "owner"
 
+    /** Value of the row of a job that has ended, in place of what was asked for. */
+    val endedMark = ByteArray(1)
+
+    // Its own, so that its writes wait for no others while the store is slow.
+    private const val OWNER_PARTITION = "owner"
+    private const val WORK_TABLE = "work"
+
+    // A partition takes some hundred writes a second, a few while the store is slow.
+    private const val WORK_PARTITIONS = 16
     private const val JOB_PREFIX = "job/"
     private const val CANCEL_PREFIX = "cancel/"
 
-    /** Key of an accepted job in [WORK]. */
+    /** Place of the job [jobId] and of its cancellation. */
+    fun work(jobId: String): RowPlace = work[Math.floorMod(jobId.hashCode(), WORK_PARTITIONS)]
+
+    /** Key of a job at its place. */
     fun jobKey(jobId: String) = "$JOB_PREFIX$jobId"
 
-    /** Key of a cancellation in [WORK]. */
+    /** Key of a cancellation at the place of its job. */
     fun cancelKey(jobId: String) = "$CANCEL_PREFIX$jobId"
 
-    /** Key of the state of a job in [STATES]. */
+    /** Key of the state of a job in [states]. */
     fun stateKey(jobId: String) = "$JOB_PREFIX$jobId"
 
-    /** Job that a key in [WORK] or [STATES] accepts or tells of, or null. */
+    /** Job that a key names, or null. */
     fun jobOf(key: String): String? = key.takeIf { it.startsWith(JOB_PREFIX) }?.removePrefix(JOB_PREFIX)
 
-    /** Job that a key in [WORK] cancels, or null. */
+    /** Job that a key cancels, or null. */
     fun cancelledOf(key: String): String? = key.takeIf { it.startsWith(CANCEL_PREFIX) }?.removePrefix(CANCEL_PREFIX)
+
+    /** Whether [value] is the row of a job that has ended. */
+    fun isEndedMark(value: ByteArray): Boolean = value.contentEquals(endedMark)
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
@@ -3,26 +3,33 @@
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
 
 /**
- * Follows one table: reads it whole, then its changes; reads it whole again when the history is gone or the feed failed
+ * Follows places of one table: reads them whole, then its changes; reads them whole again when the history is gone or the feed failed
  * for a while.
  */
 internal class TableFollower(
     private val store: RowStore,
-    private val table: String,
+    private val places: List<RowPlace>,
     private val waitMillis: Long,
     private val pauseMillis: Long,
 ) {
-    /** Runs until cancelled; [onContact] is told after each call whether the store answered. */
+    /**
+     * Runs until cancelled; [onContact] is told after each call whether the store answered. Begins with
+     * the changes after [readVersion] when the rows up to it are known.
+     */
     suspend fun run(
         onAll: (RowBatch) -> Unit,
         onChanges: (RowBatch) -> Unit,
         onContact: (Boolean) -> Unit = {},
+        readVersion: Long? = null,
     ) {
+        // What was read before needs no second reading.
+        if (readVersion != null) follow(readVersion, onChanges, onContact)
         while (true) {
-            when (val all = store.readAll(table)) {
+            when (val all = store.readAll(places)) {
                 is ReadResult.Read -> {
                     onContact(true)
                     onAll(all.value)
@@ -42,7 +49,7 @@
         onChanges: (RowBatch) -> Unit,
         onContact: (Boolean) -> Unit,
     ) {
-        val feed = store.feed(table)
+        val feed = store.feed(places.first().table)
         var version = since
         try {
             while (true) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
@@ -13,13 +13,14 @@
     store: RowStore,
     private val engine: JobEngine,
     private val clock: Clock,
+    private val readVersion: Long,
     private val onChange: () -> Unit,
 ) {
-    private val follower = TableFollower(store, StoredTables.WORK, FEED_WAIT_MILLIS, pauseMillis = 0)
+    private val follower = TableFollower(store, StoredTables.work, FEED_WAIT_MILLIS, pauseMillis = 0)
 
     /** Runs until cancelled. */
     suspend fun run() {
-        follower.run(onAll = ::take, onChanges = ::take)
+        follower.run(onAll = ::take, onChanges = ::take, readVersion = readVersion)
     }
 
     private fun take(batch: RowBatch) {
@@ -38,6 +39,7 @@
             engine.cancel(cancelled, now)
             return
         }
+        if (StoredTables.isEndedMark(value)) return
         val jobId = StoredTables.jobOf(row.key) ?: return
         val record = RecordCodec.decode(JobRecord.serializer(), value) ?: return
         engine.accept(jobId, record, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/RowStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/RowStore.kt
@@ -15,16 +15,27 @@
     public val version: Long,
 )
 
-/** Condition that the row [key] of [table] has [version]; 0 when it must not exist. */
-public data class RowExpectation(
+/**
+ * Where a row is kept. Rows of one partition are written one after another; a transaction stays in one partition.
+ *
+ * @property table table.
+ * @property partition partition of the table.
+ */
+public data class RowPlace(
     val table: String,
+    val partition: String = "",
+)
+
+/** Condition that the row [key] at [place] has [version]; 0 when it must not exist. */
+public data class RowExpectation(
+    val place: RowPlace,
     val key: String,
     val version: Long,
 )
 
-/** Change of the row [key] of [table] to [value]; null removes it. */
+/** Change of the row [key] at [place] to [value]; null removes it. */
 public class RowChange(
-    public val table: String,
+    public val place: RowPlace,
     public val key: String,
     public val value: ByteArray?,
 )
@@ -88,15 +99,15 @@
         timeoutMillis: Long,
     ): TransactionOutcome
 
-    /** Reads the row [key] of [table]; null when it does not exist. */
+    /** Reads the row [key] at [place]; null when it does not exist. */
     public suspend fun read(
-        table: String,
+        place: RowPlace,
         key: String,
         timeoutMillis: Long,
     ): ReadResult<StoredRow?>
 
-    /** Reads all rows of [table], page by page; the version is that of the first page. */
-    public suspend fun readAll(table: String): ReadResult<RowBatch>
+    /** Reads all rows at [places], page by page; the version is that of the first page. */
+    public suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch>
 
     /** Opens the changes of [table]. */
     public fun feed(table: String): RowFeed
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminApi.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminApi.kt
@@ -14,16 +14,16 @@
 import io.ktor.server.routing.routing
 import kotlinx.serialization.KSerializer
 import org.verbenagauge.entry.account.AccountStatus
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.OperatorAccount
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.TeamKey
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.OperatorAccount
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.sha256Hex
+import org.verbenagauge.entry.state.store.ReadOutcome
 
 private const val MAX_DOCUMENT_BYTES = 4_194_304L
 private const val MAX_BODY_BYTES = 65_536L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminCalls.kt
@@ -11,7 +11,7 @@
 import kotlinx.io.readByteArray
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
-import org.verbenagauge.entry.state.OperatorAccount
+import org.verbenagauge.entry.state.document.OperatorAccount
 import java.util.UUID
 
 private const val BEARER_PREFIX = "Bearer "
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminOutcome.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminOutcome.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.operator
 
 import kotlinx.serialization.Serializable
-import org.verbenagauge.entry.state.OperatorRight
+import org.verbenagauge.entry.state.document.OperatorRight
 
 /**
  * A change as operators see it.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminViews.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminViews.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.entry.operator
 
 import kotlinx.serialization.Serializable
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.WaveCommand
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.WaveCommand
 
 /**
  * The document and its version.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/Administration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/Administration.kt
@@ -2,19 +2,19 @@
 
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import org.verbenagauge.entry.state.ApplyOutcome
-import org.verbenagauge.entry.state.AuditTrail
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.Edit
-import org.verbenagauge.entry.state.Freshness
-import org.verbenagauge.entry.state.InForceLog
-import org.verbenagauge.entry.state.InForceObservation
-import org.verbenagauge.entry.state.OperatorAccount
-import org.verbenagauge.entry.state.ProposeOutcome
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.RecordedChange
-import org.verbenagauge.entry.state.changeJson
+import org.verbenagauge.entry.state.control.ApplyOutcome
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.document.OperatorAccount
+import org.verbenagauge.entry.state.document.changeJson
+import org.verbenagauge.entry.state.force.Freshness
+import org.verbenagauge.entry.state.log.AuditTrail
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.InForceLog
+import org.verbenagauge.entry.state.log.InForceObservation
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.log.RecordedChange
+import org.verbenagauge.entry.state.store.ReadOutcome
 
 private const val MAX_ATTEMPTS = 8
 private const val MAX_CONFLICT_CHANGES = 500
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdministrationRoutes.kt
@@ -6,11 +6,11 @@
 import org.verbenagauge.entry.operator.console.Console
 import org.verbenagauge.entry.operator.console.ConsoleSessions
 import org.verbenagauge.entry.settings.AdministrationSettings
-import org.verbenagauge.entry.state.AuditTrail
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.Freshness
-import org.verbenagauge.entry.state.InForceLog
-import org.verbenagauge.entry.state.TableService
+import org.verbenagauge.entry.state.force.Freshness
+import org.verbenagauge.entry.state.log.AuditTrail
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.InForceLog
+import org.verbenagauge.entry.state.store.TableService
 
 /** Installs everything that operators use. */
 public fun interface AdministrationRoutes {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/DocumentDifference.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/DocumentDifference.kt
@@ -6,8 +6,8 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.contentOrNull
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.changeJson
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.changeJson
 
 /** Returns every field that differs between [before] and [after]; things with names are matched by name. */
 public fun documentDifference(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/StatusView.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/StatusView.kt
@@ -2,13 +2,13 @@
 
 import kotlinx.serialization.Serializable
 import org.verbenagauge.entry.account.TeamUsage
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.FleetState
 import org.verbenagauge.entry.state.FleetView
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveCommand
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
+import org.verbenagauge.entry.state.store.InstancePhase
 
 /**
  * State of the fleet as one entry instance knows it.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
@@ -32,10 +32,10 @@
 import org.verbenagauge.entry.operator.fieldProblem
 import org.verbenagauge.entry.operator.holderOf
 import org.verbenagauge.entry.operator.problemOf
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.OperatorAccount
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.document.OperatorAccount
+import org.verbenagauge.entry.state.document.sha256Hex
+import org.verbenagauge.entry.state.store.ReadOutcome
 import java.util.UUID
 
 private const val COOKIE_NAME = "verbenagauge-session"
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleForm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleForm.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.entry.operator.console
 
 import org.verbenagauge.entry.operator.FieldProblem
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.document.Configuration
 
 /**
  * Field of a form; its name is that of the field of the document, so that errors find it.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleForms.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleForms.kt
@@ -1,17 +1,17 @@
 package org.verbenagauge.entry.operator.console
 
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.OperatorAccount
-import org.verbenagauge.entry.state.OperatorRight
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.TeamKey
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveCommand
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.OperatorAccount
+import org.verbenagauge.entry.state.document.OperatorRight
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
 
 private val yesOrNo = listOf(FormValues.NO, FormValues.YES)
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleSessions.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleSessions.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.operator.console
 
-import org.verbenagauge.entry.state.OperatorAccount
+import org.verbenagauge.entry.state.document.OperatorAccount
 import java.security.MessageDigest
 import java.util.HexFormat
 import javax.crypto.Mac
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleStatus.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/ConsoleStatus.kt
@@ -10,7 +10,7 @@
 import kotlinx.html.tr
 import kotlinx.html.unsafe
 import org.verbenagauge.entry.operator.StatusView
-import org.verbenagauge.entry.state.Configuration
+import org.verbenagauge.entry.state.document.Configuration
 import java.net.URLEncoder
 import java.util.Locale
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/RightsMessage.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/RightsMessage.kt
@@ -6,8 +6,8 @@
 import kotlinx.serialization.cbor.CborLabel
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.RightsGroup
-import org.verbenagauge.entry.state.HolderId
-import org.verbenagauge.entry.state.ResourceCount
+import org.verbenagauge.entry.state.control.HolderId
+import org.verbenagauge.entry.state.control.ResourceCount
 
 /** Messages that move rights between entries, and that say where they are needed. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointViews.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/placement/EndpointViews.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.entry.placement
 
-import org.verbenagauge.entry.state.FleetState
 import org.verbenagauge.entry.state.FleetView
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.ListedInstance
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 /** Returns the endpoints of each pool: the shared state says where an instance belongs, the list how it is. */
 internal fun endpointsByPool(view: FleetView): Map<String, List<EndpointView>> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/EntryDirectory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/EntryDirectory.kt
@@ -11,7 +11,9 @@
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.TransactionOutcome
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.peers.PeerAddress
 import java.security.SecureRandom
@@ -36,7 +38,7 @@
     private val clock: Clock,
     private val self: PeerAddress,
 ) {
-    private val follower = TableFollower(store, TABLE, FEED_WAIT_MILLIS, pauseMillis = 0)
+    private val follower = TableFollower(store, listOf(place), FEED_WAIT_MILLIS, pauseMillis = 0)
     private val addressByEntry = HashMap<String, EntryRecord>()
     private val knownSecret = CompletableDeferred<ByteArray>()
 
@@ -62,9 +64,9 @@
     private suspend fun write(): Boolean {
         val record = EntryRecord(self.host, self.port, clock.wallMillis())
         val key = "$ENTRY_PREFIX${self.entryId}"
-        val change = RowChange(TABLE, key, RecordCodec.encode(EntryRecord.serializer(), record))
+        val change = RowChange(place, key, RecordCodec.encode(EntryRecord.serializer(), record))
         val outcome = store.transact(emptyList(), listOf(change) + outdated(), TIMEOUT_MILLIS)
-        return outcome is org.verbenagauge.entry.jobs.ports.TransactionOutcome.Applied
+        return outcome is TransactionOutcome.Applied
     }
 
     // Entries that were replaced long ago.
@@ -75,13 +77,13 @@
             .keys
             .filter { it != self.entryId }
             .take(MOST_FORGOTTEN)
-            .map { RowChange(TABLE, "$ENTRY_PREFIX$it", null) }
+            .map { RowChange(place, "$ENTRY_PREFIX$it", null) }
     }
 
     // The first to write it decides; everyone then reads what is stored.
     private suspend fun agreeOnSecret() {
         while (!knownSecret.isCompleted) {
-            val read = store.read(TABLE, SECRET_KEY, TIMEOUT_MILLIS)
+            val read = store.read(place, SECRET_KEY, TIMEOUT_MILLIS)
             val stored = (read as? ReadResult.Read)?.value?.value
             if (stored != null) {
                 knownSecret.complete(stored)
@@ -89,8 +91,8 @@
             }
             if (read is ReadResult.Read) {
                 val drawn = ByteArray(SECRET_BYTES).also(SecureRandom()::nextBytes)
-                val condition = RowExpectation(TABLE, SECRET_KEY, 0)
-                store.transact(listOf(condition), listOf(RowChange(TABLE, SECRET_KEY, drawn)), TIMEOUT_MILLIS)
+                val condition = RowExpectation(place, SECRET_KEY, 0)
+                store.transact(listOf(condition), listOf(RowChange(place, SECRET_KEY, drawn)), TIMEOUT_MILLIS)
             } else {
                 delay(RETRY_MILLIS)
             }
@@ -110,7 +112,7 @@
     }
 
     private companion object {
-        const val TABLE = "entries"
+        val place = RowPlace("entries")
         const val ENTRY_PREFIX = "entry/"
         const val SECRET_KEY = "secret"
         const val SECRET_BYTES = 32
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/ChangeLogProposer.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/ChangeLogProposer.kt
@@ -2,8 +2,8 @@
 
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.ProposeOutcome
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.ProposeOutcome
 
 /** Proposes edits of rights to [changes] in the name of [author]. */
 internal class ChangeLogProposer(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EntryRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EntryRights.kt
@@ -6,7 +6,7 @@
 import org.verbenagauge.entry.settings.IdentitySettings
 import org.verbenagauge.entry.state.EntryState
 import org.verbenagauge.entry.state.FleetView
-import org.verbenagauge.entry.state.limits
+import org.verbenagauge.entry.state.control.limits
 
 private const val HAND_OVER_MILLIS = 3_000L
 private const val HAND_OVER_POLL_MILLIS = 20L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EscrowRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EscrowRights.kt
@@ -8,8 +8,8 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.peers.RightsMessage
-import org.verbenagauge.entry.state.Freshness
-import org.verbenagauge.entry.state.InForce
+import org.verbenagauge.entry.state.force.Freshness
+import org.verbenagauge.entry.state.force.InForce
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsAction.kt
@@ -2,7 +2,7 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.RightsMessage
-import org.verbenagauge.entry.state.RightsEdit
+import org.verbenagauge.entry.state.control.RightsEdit
 
 /** What the shell must do after an event of [RightsCore]. */
 public sealed interface RightsAction {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsLedger.kt
@@ -4,10 +4,10 @@
 import org.verbenagauge.entry.peers.ResourceTotal
 import org.verbenagauge.entry.peers.RightsMessage
 import org.verbenagauge.entry.peers.Stays
-import org.verbenagauge.entry.state.HolderCounts
-import org.verbenagauge.entry.state.HolderId
-import org.verbenagauge.entry.state.ResourceCount
-import org.verbenagauge.entry.state.RightsEdit
+import org.verbenagauge.entry.state.control.HolderCounts
+import org.verbenagauge.entry.state.control.HolderId
+import org.verbenagauge.entry.state.control.ResourceCount
+import org.verbenagauge.entry.state.control.RightsEdit
 
 /**
  * Rights that one incarnation holds and uses; every rule that keeps the sum of all rights within the limits
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
@@ -2,10 +2,10 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.RightsMessage
-import org.verbenagauge.entry.state.HolderCounts
-import org.verbenagauge.entry.state.HolderId
-import org.verbenagauge.entry.state.ResourceCount
-import org.verbenagauge.entry.state.RightsEdit
+import org.verbenagauge.entry.state.control.HolderCounts
+import org.verbenagauge.entry.state.control.HolderId
+import org.verbenagauge.entry.state.control.ResourceCount
+import org.verbenagauge.entry.state.control.RightsEdit
 
 private const val ACCOUNT_REQUEST_MILLIS = 500L
 private const val PROPOSAL_PAUSE_MILLIS = 500L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsView.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsView.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.entry.rights
 
 import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.RightsState
-import org.verbenagauge.entry.state.limits
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.RightsState
+import org.verbenagauge.entry.state.control.limits
 
 /**
  * What the rights of an entry depend on, as of one version of the change log.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/EntryState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/EntryState.kt
@@ -11,6 +11,15 @@
 import org.verbenagauge.entry.peers.SocketPeerNetwork
 import org.verbenagauge.entry.settings.EntrySettings
 import org.verbenagauge.entry.settings.parsePeerAddress
+import org.verbenagauge.entry.state.control.Member
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.force.ForceLimits
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.changeLog
+import org.verbenagauge.entry.state.store.GuardedTable
+import org.verbenagauge.entry.state.store.Platform
+import org.verbenagauge.entry.state.store.TableBudget
+import org.verbenagauge.entry.state.store.TableStats
 import kotlin.random.Random
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetView.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetView.kt
@@ -1,5 +1,8 @@
 package org.verbenagauge.entry.state
 
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.store.ListedInstance
+
 /**
  * What an entry knows of the fleet.
  *
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateAction.kt
@@ -2,6 +2,8 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.MembershipEdit
 
 /** What the shell of [StateCore] must do after an event, in this order. */
 internal sealed interface StateAction {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateCore.kt
@@ -1,6 +1,21 @@
 package org.verbenagauge.entry.state
 
 import org.verbenagauge.entry.peers.StateMessage
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Member
+import org.verbenagauge.entry.state.control.MembershipEdit
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.force.ForceAction
+import org.verbenagauge.entry.state.force.ForceCore
+import org.verbenagauge.entry.state.force.ForceLimits
+import org.verbenagauge.entry.state.force.ForceRole
+import org.verbenagauge.entry.state.force.MembershipPlanner
+import org.verbenagauge.entry.state.force.MembershipView
+import org.verbenagauge.entry.state.log.ChangeHistory
+import org.verbenagauge.entry.state.log.FollowOutcome
+import org.verbenagauge.entry.state.log.SnapshotAssembler
+import org.verbenagauge.entry.state.log.snapshotParts
 import kotlin.random.Random
 
 private const val MAX_CHANGES_CHARS = 100 * 1_024
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateService.kt
@@ -15,6 +15,21 @@
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.SocketPeerNetwork
 import org.verbenagauge.entry.peers.StateMessage
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Member
+import org.verbenagauge.entry.state.control.MembershipEdit
+import org.verbenagauge.entry.state.control.RemoveCause
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.force.ForceLimits
+import org.verbenagauge.entry.state.force.ForceRole
+import org.verbenagauge.entry.state.force.Freshness
+import org.verbenagauge.entry.state.force.InForce
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.SnapshotStore
+import org.verbenagauge.entry.state.store.ListedInstance
+import org.verbenagauge.entry.state.store.Platform
+import org.verbenagauge.entry.state.store.ReadOutcome
 import java.util.UUID
 import kotlin.random.Random
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Acceptance.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/Acceptance.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
 
 import org.verbenagauge.entry.peers.PeerId
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ConfigurationEdit.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/ConfigurationEdit.kt
@@ -1,7 +1,15 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.OperatorAccount
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
 
 /** Edit of the document. */
 @Serializable
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ControlState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/ControlState.kt
@@ -1,6 +1,8 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
 
 import kotlinx.serialization.Serializable
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.validate
 
 /** Outcome of applying an [Edit]. */
 public sealed interface ApplyOutcome {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetBegin.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/FleetBegin.kt
@@ -1,4 +1,8 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
+
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
 
 /** Returns the pool that the instance of [edit] joins at the end, or null when it leaves the fleet. */
 internal fun FleetState.destination(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/FleetReducer.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/FleetReducer.kt
@@ -1,4 +1,8 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
+
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.InstanceMove
+import org.verbenagauge.entry.state.document.Queue
 
 /** Applies [edit] under [configuration] as the change that makes [version]. */
 internal fun FleetState.edited(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/PartOutcome.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/PartOutcome.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
 
 /** Outcome of an edit of one part of the state. */
 internal sealed interface PartOutcome<out T> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/PoolRoom.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/PoolRoom.kt
@@ -1,4 +1,7 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.control
+
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
 
 /**
  * What of a pool is away, and how much may be.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Configuration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/document/Configuration.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.document
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ConfigurationValidator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/document/ConfigurationValidator.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.document
 
 private val namePattern = Regex("[a-z0-9][a-z0-9-]{0,62}")
 private val hashPattern = Regex("[0-9a-f]{64}")
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeHash.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/document/StoredForm.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.document
 
 import kotlinx.serialization.json.Json
 import java.security.MessageDigest
@@ -17,9 +17,3 @@
     val digest = MessageDigest.getInstance("SHA-256")
     return HexFormat.of().formatHex(digest.digest(text.encodeToByteArray()))
 }
-
-/** Returns the row value of [change]. */
-internal fun encodeChange(change: Change): String = changeJson.encodeToString(Change.serializer(), change)
-
-/** Reads a change from a row value. */
-internal fun decodeChange(value: String): Change = changeJson.decodeFromString(Change.serializer(), value)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/WaveValidator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/document/WaveValidator.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.document
 
 private const val MINUTES_PER_DAY = 24 * 60
 private const val MAX_PERCENT = 100
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Confirmation.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/Confirmation.kt
@@ -1,6 +1,9 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.control.majorityOf
 
 /**
  * Finds the last instant at which no change later than the version of this entry was accepted.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/ForceAction.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/ForceCore.kt
@@ -1,8 +1,11 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 import org.verbenagauge.entry.peers.HeldReport
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.control.limits
 import kotlin.random.Random
 
 private const val STORE_ANSWER_MILLIS = 2_000L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ForceLimits.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/ForceLimits.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 private const val DRIFT_DIVISOR = 50
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Freshness.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/Freshness.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 /** Says whether this entry may still act on the configuration that it knows. */
 public fun interface Freshness {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/InForce.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/InForce.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 /** Says which version is in force on every entry instance that may still serve. */
 public fun interface InForce {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/InForceTracker.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/InForceTracker.kt
@@ -1,7 +1,10 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 import org.verbenagauge.entry.peers.HeldReport
 import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.control.limits
 
 /**
  * Finds the last accepted version, and the last version that every entry has that may still act.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/MembershipPlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/MembershipPlanner.kt
@@ -1,6 +1,13 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.state.control.Member
+import org.verbenagauge.entry.state.control.Membership
+import org.verbenagauge.entry.state.control.MembershipEdit
+import org.verbenagauge.entry.state.control.RemoveCause
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.control.majorityOf
 import kotlin.random.Random
 
 private const val FIRST_ATTEMPT_MILLIS = 50L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/PollPlan.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/PollPlan.kt
@@ -1,6 +1,9 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.force
 
 import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.state.control.Membership
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.control.majorityOf
 import kotlin.random.Random
 
 private const val MIN_POLLERS = 3
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ChangeLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeLog.kt
@@ -1,10 +1,23 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.log
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.state.control.ApplyOutcome
+import org.verbenagauge.entry.state.control.Change
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.control.encodeChange
+import org.verbenagauge.entry.state.document.sha256Hex
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.RowCondition
+import org.verbenagauge.entry.state.store.RowWrite
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 import kotlin.random.Random
 
 private const val HEAD_KEY = "changes/head"
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/InForceLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/InForceLog.kt
@@ -1,9 +1,17 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.log
 
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.state.document.changeJson
+import org.verbenagauge.entry.state.force.InForce
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.RowCondition
+import org.verbenagauge.entry.state.store.RowWrite
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 
 private const val OBSERVATION_PREFIX = "changes/in-force/"
 private const val VERSION_DIGITS = 16
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/ProposeOutcome.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ProposeOutcome.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.log
 
 /** Outcome of [ChangeLog.propose]. */
 public sealed interface ProposeOutcome {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/Snapshots.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/Snapshots.kt
@@ -1,8 +1,13 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.log
 
 import kotlinx.serialization.SerializationException
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.document.changeJson
+import org.verbenagauge.entry.state.store.ObjectStore
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.io.ByteArrayInputStream
 import java.io.ByteArrayOutputStream
 import java.io.IOException
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/GuardedTable.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/store/GuardedTable.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.store
 
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.clock.Clock
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/HttpPlatform.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/store/HttpPlatform.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.state
+package org.verbenagauge.entry.state.store
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
@@ -5,6 +5,7 @@
 import org.verbenagauge.entry.jobs.owner.TableFollower
 import org.verbenagauge.entry.jobs.owner.WorkerList
 import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
 
 private const val OPERATOR_TABLE = "op"
@@ -24,7 +25,8 @@
     private val onConfiguration: (JobsConfiguration) -> Unit,
     private val onWave: (key: String, value: ByteArray?) -> Unit,
 ) {
-    private val follower = TableFollower(store, OPERATOR_TABLE, CONFIGURATION_WAIT_MILLIS, pauseMillis = 0)
+    private val follower =
+        TableFollower(store, listOf(RowPlace(OPERATOR_TABLE)), CONFIGURATION_WAIT_MILLIS, pauseMillis = 0)
 
     /** Runs until cancelled. */
     suspend fun run() {
@@ -47,7 +49,7 @@
 internal class PlatformWorkerList(
     store: RowStore,
 ) : WorkerList {
-    private val follower = TableFollower(store, WORKER_TABLE, WORKER_WAIT_MILLIS, WORKER_PAUSE_MILLIS)
+    private val follower = TableFollower(store, listOf(RowPlace(WORKER_TABLE)), WORKER_WAIT_MILLIS, WORKER_PAUSE_MILLIS)
 
     override suspend fun follow(
         onAll: (List<ListedWorker>) -> Unit,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -10,6 +10,7 @@
 import org.verbenagauge.entry.jobs.ports.MachineGateway
 import org.verbenagauge.entry.jobs.ports.MachineOutcome
 import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.http.HttpCall
 import org.verbenagauge.http.HttpOutcome
 import org.verbenagauge.http.HttpPool
@@ -118,5 +119,5 @@
     WaveReports { wave, isCompleted ->
         val state = WireState(if (isCompleted) "completed" else "active")
         val value = wireJson.encodeToString(WireState.serializer(), state).encodeToByteArray()
-        RowChange(STATUS_TABLE, "$WAVE_PREFIX${wave.number}", value)
+        RowChange(RowPlace(STATUS_TABLE), "$WAVE_PREFIX${wave.number}", value)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
@@ -1,12 +1,16 @@
 package org.verbenagauge.platform
 
 import io.ktor.http.encodeURLParameter
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.serialization.SerializationException
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
 import org.verbenagauge.entry.jobs.ports.RowFeed
+import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
@@ -25,9 +29,32 @@
     ): TransactionOutcome {
         val transaction =
             WireTransaction(
-                expected = expectations.map { WireRow(it.table, key = it.key, rowVersion = it.version) },
-                write = changes.filter { it.value != null }.map { WireRow(it.table, key = it.key, value = encode(it)) },
-                remove = changes.filter { it.value == null }.map { WireRow(it.table, key = it.key) },
+                expected =
+                    expectations.map {
+                        WireRow(
+                            it.place.table,
+                            it.place.partition,
+                            it.key,
+                            rowVersion = it.version,
+                        )
+                    },
+                write =
+                    changes.filter { it.value != null }.map {
+                        WireRow(
+                            it.place.table,
+                            it.place.partition,
+                            it.key,
+                            encode(it),
+                        )
+                    },
+                remove =
+                    changes.filter { it.value == null }.map {
+                        WireRow(
+                            it.place.table,
+                            it.place.partition,
+                            it.key,
+                        )
+                    },
             )
         val body = wireJson.encodeToString(WireTransaction.serializer(), transaction).encodeToByteArray()
         return when (val outcome = link.exchange(HttpCall("POST", "/v1/rows-tx", body = body), timeoutMillis)) {
@@ -45,12 +72,11 @@
         }
 
     override suspend fun read(
-        table: String,
+        place: RowPlace,
         key: String,
         timeoutMillis: Long,
-    ): ReadResult<StoredRow?> {
-        val query = "/v1/rows-get?Table=${table.encodeURLParameter()}&From=${key.encodeURLParameter()}&Limit=1"
-        return when (val page = page(query, timeoutMillis)) {
+    ): ReadResult<StoredRow?> =
+        when (val page = page("${query(place, key)}&Limit=1", timeoutMillis)) {
             is ReadResult.Read ->
                 ReadResult.Read(
                     page.value.rows
@@ -60,16 +86,28 @@
             is ReadResult.Failed -> page
             is ReadResult.HistoryGone -> page
         }
+
+    override suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch> {
+        val reads = coroutineScope { places.map { async { readPlace(it) } }.awaitAll() }
+        val batches =
+            reads.map { read ->
+                when (read) {
+                    is ReadResult.Read -> read.value
+                    is ReadResult.Failed -> return read
+                    is ReadResult.HistoryGone -> return read
+                }
+            }
+        return ReadResult.Read(RowBatch(batches.flatMap { it.rows }, batches.minOf { it.version }))
     }
 
-    override suspend fun readAll(table: String): ReadResult<RowBatch> {
+    // The version is that of the first page: changes after it are read again with the feed.
+    private suspend fun readPlace(place: RowPlace): ReadResult<RowBatch> {
         val rows = ArrayList<StoredRow>()
         var from = ""
         var version: Long? = null
         while (true) {
-            val query = "/v1/rows-get?Table=${table.encodeURLParameter()}&From=${from.encodeURLParameter()}"
             val page =
-                when (val read = page(query, READ_TIMEOUT_MILLIS)) {
+                when (val read = page(query(place, from), READ_TIMEOUT_MILLIS)) {
                     is ReadResult.Read -> read.value
                     is ReadResult.Failed -> return read
                     is ReadResult.HistoryGone -> return read
@@ -81,6 +119,15 @@
         }
     }
 
+    private fun query(
+        place: RowPlace,
+        from: String,
+    ): String {
+        val table = place.table.encodeURLParameter()
+        val part = place.partition.encodeURLParameter()
+        return "/v1/rows-get?Table=$table&part=$part&From=${from.encodeURLParameter()}"
+    }
+
     private suspend fun page(
         query: String,
         timeoutMillis: Long,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.platform
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -117,10 +119,11 @@
     val born: Long = 0,
 )
 
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal data class WireRow(
     @SerialName("Table") val table: String,
-    val part: String = "",
+    @EncodeDefault val part: String = "",
     @SerialName("Key") val key: String,
     @SerialName("Value") val value: String? = null,
     @SerialName("RowVersion") val rowVersion: Long? = null,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/account/AccountWriterTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/account/AccountWriterTest.kt
@@ -10,9 +10,9 @@
 import kotlinx.coroutines.yield
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.state.ObjectStore
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.ObjectStore
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 import org.verbenagauge.fake.FakeClock
 import org.verbenagauge.fake.FakeObjectStore
 import org.verbenagauge.fake.FakePeerHub
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/DispatcherTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/DispatcherTest.kt
@@ -12,9 +12,9 @@
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import org.verbenagauge.entry.rights.noFleetService
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Team
 
 private const val MAX_RUN_MILLIS = 1_000L
 private const val MAX_QUEUED = 4
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FairQueueTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FairQueueTest.kt
@@ -3,7 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
-import org.verbenagauge.entry.state.QueueClass
+import org.verbenagauge.entry.state.document.QueueClass
 import kotlin.random.Random
 
 private const val SCHEDULES = 500
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FuzzWorld.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FuzzWorld.kt
@@ -10,14 +10,14 @@
 import org.verbenagauge.entry.placement.EndpointAddress
 import org.verbenagauge.entry.placement.EndpointClient
 import org.verbenagauge.entry.placement.EndpointView
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.QueueClass
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.TeamKey
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.QueueClass
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.sha256Hex
 import kotlin.random.Random
 
 /** How an endpoint of the fuzz behaves for a while. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceFuzzTest.kt
@@ -18,7 +18,7 @@
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import org.verbenagauge.entry.rights.fixedSplit
-import org.verbenagauge.entry.state.Configuration
+import org.verbenagauge.entry.state.document.Configuration
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.minutes
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
@@ -19,12 +19,12 @@
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.Rights
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.Queue
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.TeamKey
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.document.TeamKey
+import org.verbenagauge.entry.state.document.sha256Hex
 
 private const val RUN_MILLIS = 100L
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/FleetExecutorTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/FleetExecutorTest.kt
@@ -4,21 +4,21 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.settings.FleetSettings
-import org.verbenagauge.entry.state.AvailabilityBudget
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.FleetEdit
-import org.verbenagauge.entry.state.FleetState
-import org.verbenagauge.entry.state.InstancePhase
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.InstanceStep
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.Pool
-import org.verbenagauge.entry.state.StepPhase
-import org.verbenagauge.entry.state.StepPurpose
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveHold
-import org.verbenagauge.entry.state.WaveRecord
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.FleetEdit
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.InstanceStep
+import org.verbenagauge.entry.state.control.StepPhase
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.control.WaveHold
+import org.verbenagauge.entry.state.control.WaveRecord
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.store.InstancePhase
+import org.verbenagauge.entry.state.store.ListedInstance
 
 private const val NOW_MILLIS = 1_000L
 private const val MINUTE_MILLIS = 60_000L
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/PlannerDifferentialTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/PlannerDifferentialTest.kt
@@ -4,9 +4,9 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.Wave
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.document.Wave
 import kotlin.random.Random
 
 private const val FLEETS = 500
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/WavePlannerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/fleet/WavePlannerTest.kt
@@ -3,10 +3,10 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import org.verbenagauge.entry.state.InstancePlace
-import org.verbenagauge.entry.state.PoolRoom
-import org.verbenagauge.entry.state.Wave
-import org.verbenagauge.entry.state.WaveReserve
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.PoolRoom
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveReserve
 
 // Two instances a rack, two racks a zone.
 private fun instances(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
@@ -21,11 +21,11 @@
 import org.verbenagauge.entry.account.AccountStatus
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.settings.AdministrationSettings
-import org.verbenagauge.entry.state.ChangeLog
 import org.verbenagauge.entry.state.FleetView
-import org.verbenagauge.entry.state.InForceLog
-import org.verbenagauge.entry.state.changeLog
-import org.verbenagauge.entry.state.sha256Hex
+import org.verbenagauge.entry.state.document.sha256Hex
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.InForceLog
+import org.verbenagauge.entry.state.log.changeLog
 import org.verbenagauge.fake.FakeClock
 import kotlin.random.Random
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/ScriptedTable.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/ScriptedTable.kt
@@ -1,11 +1,11 @@
 package org.verbenagauge.entry.operator
 
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.RowWrite
-import org.verbenagauge.entry.state.TableService
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.RowWrite
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.TreeMap
 
 /** What happens to one transaction of a [ScriptedTable]. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/EscrowRightsModel.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/EscrowRightsModel.kt
@@ -6,9 +6,9 @@
 import org.verbenagauge.entry.peers.PeerListener
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
-import org.verbenagauge.entry.state.HolderId
-import org.verbenagauge.entry.state.RightsHolder
-import org.verbenagauge.entry.state.RightsState
+import org.verbenagauge.entry.state.control.HolderId
+import org.verbenagauge.entry.state.control.RightsHolder
+import org.verbenagauge.entry.state.control.RightsState
 
 private const val GRANTED = 8
 private const val TAKEN = 6
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FakeRightsLog.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FakeRightsLog.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.rights
 
 import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.state.PartOutcome
-import org.verbenagauge.entry.state.RightsEdit
-import org.verbenagauge.entry.state.RightsState
-import org.verbenagauge.entry.state.edited
+import org.verbenagauge.entry.state.control.PartOutcome
+import org.verbenagauge.entry.state.control.RightsEdit
+import org.verbenagauge.entry.state.control.RightsState
+import org.verbenagauge.entry.state.control.edited
 
 /** Change log in memory: the real reducer of rights, and plain edits of limits and members. */
 internal class FakeRightsLog(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/ChangeLogRows.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/ChangeLogRows.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.state
 
+import org.verbenagauge.entry.state.control.decodeChange
+import org.verbenagauge.entry.state.log.CHANGE_PREFIX
 import org.verbenagauge.fake.FakeRows
 
 /** Reads what a fake table service holds of the sequence of changes. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/ChangeLogTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/ChangeLogTest.kt
@@ -4,6 +4,16 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import org.verbenagauge.entry.state.control.Change
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.encodeChange
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.log.FollowOutcome
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.log.changeLog
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.TableService
 import org.verbenagauge.fake.FakeClock
 import org.verbenagauge.fake.FakeTableService
 import org.verbenagauge.fake.WriteFault
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/FleetReducerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/FleetReducerTest.kt
@@ -5,16 +5,34 @@
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
-import org.verbenagauge.entry.state.FleetEdit.Abandon
-import org.verbenagauge.entry.state.FleetEdit.AssignInstance
-import org.verbenagauge.entry.state.FleetEdit.Begin
-import org.verbenagauge.entry.state.FleetEdit.Cancel
-import org.verbenagauge.entry.state.FleetEdit.Finish
-import org.verbenagauge.entry.state.FleetEdit.Forget
-import org.verbenagauge.entry.state.FleetEdit.Hold
-import org.verbenagauge.entry.state.FleetEdit.Lose
-import org.verbenagauge.entry.state.FleetEdit.Reboot
-import org.verbenagauge.entry.state.FleetEdit.StopWork
+import org.verbenagauge.entry.state.control.ApplyOutcome
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.control.FleetEdit.Abandon
+import org.verbenagauge.entry.state.control.FleetEdit.AssignInstance
+import org.verbenagauge.entry.state.control.FleetEdit.Begin
+import org.verbenagauge.entry.state.control.FleetEdit.Cancel
+import org.verbenagauge.entry.state.control.FleetEdit.Finish
+import org.verbenagauge.entry.state.control.FleetEdit.Forget
+import org.verbenagauge.entry.state.control.FleetEdit.Hold
+import org.verbenagauge.entry.state.control.FleetEdit.Lose
+import org.verbenagauge.entry.state.control.FleetEdit.Reboot
+import org.verbenagauge.entry.state.control.FleetEdit.StopWork
+import org.verbenagauge.entry.state.control.FleetState
+import org.verbenagauge.entry.state.control.InstancePlace
+import org.verbenagauge.entry.state.control.PoolHistory
+import org.verbenagauge.entry.state.control.StepPurpose
+import org.verbenagauge.entry.state.control.WaveHold
+import org.verbenagauge.entry.state.document.AvailabilityBudget
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.InstanceMove
+import org.verbenagauge.entry.state.document.MaintenanceHours
+import org.verbenagauge.entry.state.document.Pool
+import org.verbenagauge.entry.state.document.Queue
+import org.verbenagauge.entry.state.document.Wave
+import org.verbenagauge.entry.state.document.WaveCommand
+import org.verbenagauge.entry.state.document.validate
 
 private val place = InstancePlace("rack-0", "zone-0")
 private val document =
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/InForceMeasure.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/InForceMeasure.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.state.sim
 
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.ProposeOutcome
-import org.verbenagauge.entry.state.Team
-import org.verbenagauge.entry.state.changeLog
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Team
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.log.changeLog
 import org.verbenagauge.fake.FakeClock
 import kotlin.random.Random
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimEntry.kt
@@ -3,20 +3,22 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
-import org.verbenagauge.entry.state.ChangeLog
-import org.verbenagauge.entry.state.ControlState
-import org.verbenagauge.entry.state.Edit
-import org.verbenagauge.entry.state.ForceRole
-import org.verbenagauge.entry.state.Member
-import org.verbenagauge.entry.state.MembershipEdit
-import org.verbenagauge.entry.state.ProposeOutcome
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.RemoveCause
 import org.verbenagauge.entry.state.StateAction
 import org.verbenagauge.entry.state.StateCore
 import org.verbenagauge.entry.state.StateEvent
-import org.verbenagauge.entry.state.TableService
-import org.verbenagauge.entry.state.changeLog
+import org.verbenagauge.entry.state.control.ControlState
+import org.verbenagauge.entry.state.control.Edit
+import org.verbenagauge.entry.state.control.Member
+import org.verbenagauge.entry.state.control.MembershipEdit
+import org.verbenagauge.entry.state.control.RemoveCause
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.control.limits
+import org.verbenagauge.entry.state.force.ForceRole
+import org.verbenagauge.entry.state.log.ChangeLog
+import org.verbenagauge.entry.state.log.ProposeOutcome
+import org.verbenagauge.entry.state.log.changeLog
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.TableService
 import kotlin.random.Random
 
 private const val TICK_MILLIS = 200L
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFleet.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFleet.kt
@@ -2,7 +2,7 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.StateMessage
-import org.verbenagauge.entry.state.ForceLimits
+import org.verbenagauge.entry.state.force.ForceLimits
 import org.verbenagauge.fake.FakeRows
 import kotlin.random.Random
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimOracle.kt
@@ -2,7 +2,8 @@
 
 import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.state.ChangeLogRows
-import org.verbenagauge.entry.state.ProposeOutcome
+import org.verbenagauge.entry.state.control.acceptedVersion
+import org.verbenagauge.entry.state.log.ProposeOutcome
 
 private const val MAX_ACT_AFTER_ACCEPTANCE_MILLIS = 3_000L
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimSchedule.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimSchedule.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.state.sim
 
-import org.verbenagauge.entry.state.Configuration
-import org.verbenagauge.entry.state.ConfigurationEdit
-import org.verbenagauge.entry.state.MembershipEdit
-import org.verbenagauge.entry.state.RemoveCause
-import org.verbenagauge.entry.state.Team
+import org.verbenagauge.entry.state.control.ConfigurationEdit
+import org.verbenagauge.entry.state.control.MembershipEdit
+import org.verbenagauge.entry.state.control.RemoveCause
+import org.verbenagauge.entry.state.document.Configuration
+import org.verbenagauge.entry.state.document.Team
 import kotlin.random.Random
 
 private const val MIN_ENTRIES = 3
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimTable.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimTable.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.state.sim
 
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.TableService
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 import org.verbenagauge.fake.FakeRows
 import kotlin.coroutines.resume
 import kotlin.coroutines.suspendCoroutine
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeInstanceService.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeInstanceService.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.fake
 
-import org.verbenagauge.entry.state.InstanceAction
-import org.verbenagauge.entry.state.InstanceService
-import org.verbenagauge.entry.state.ListedInstance
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.InstanceAction
+import org.verbenagauge.entry.state.store.InstanceService
+import org.verbenagauge.entry.state.store.ListedInstance
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 
 /** Call of [FakeInstanceService.act]. */
 data class FakeAct(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeObjectStore.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeObjectStore.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.fake
 
-import org.verbenagauge.entry.state.ObjectStore
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.ObjectStore
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.TreeMap
 
 /** Object store in memory. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeRows.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeRows.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.fake
 
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 import java.util.TreeMap
 
 /** Rows of a table service with the states before the last writes, for stale reads. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeTableService.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakeTableService.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.fake
 
-import org.verbenagauge.entry.state.ReadOutcome
-import org.verbenagauge.entry.state.Row
-import org.verbenagauge.entry.state.TableService
-import org.verbenagauge.entry.state.Transaction
-import org.verbenagauge.entry.state.WriteOutcome
+import org.verbenagauge.entry.state.store.ReadOutcome
+import org.verbenagauge.entry.state.store.Row
+import org.verbenagauge.entry.state.store.TableService
+import org.verbenagauge.entry.state.store.Transaction
+import org.verbenagauge.entry.state.store.WriteOutcome
 
 /** What happens to one write of [FakeTableService]. */
 enum class WriteFault {
