Break the circles between state, peers, rights and account

Cause: identities and resources that all of them name stood in one of them each. They stand in entry/model now, which imports none: model <- peers <- state <- rights and account. No change in behaviour; compiled from clean.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/PoolSimulation.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/PoolSimulation.kt
@@ -5,9 +5,9 @@
 import org.verbenagauge.entry.admission.DispatchAction
 import org.verbenagauge.entry.admission.Dispatcher
 import org.verbenagauge.entry.admission.JobRequest
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.placement.EndpointAddress
 import org.verbenagauge.entry.placement.EndpointView
-import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import org.verbenagauge.entry.rights.fixedSplit
 import java.util.PriorityQueue
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/MeasuredEntry.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/MeasuredEntry.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.bench.rights
 
-import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.rights.rightsCore
 
 /** One entry of a measured fleet; among its teams it starts the one with the least service for its weight. */
--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsFleet.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/rights/RightsFleet.kt
@@ -2,12 +2,12 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.HolderId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.peers.PeerMessage
-import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.RightsAction
 import org.verbenagauge.entry.rights.RightsView
-import org.verbenagauge.entry.state.control.HolderId
 import org.verbenagauge.entry.state.control.RightsHolder
 import org.verbenagauge.entry.state.control.RightsState
 import java.util.PriorityQueue
--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/MembersCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/MembersCommand.kt
@@ -6,7 +6,7 @@
 import kotlinx.cli.required
 import kotlinx.coroutines.runBlocking
 import org.verbenagauge.entry.clock.systemClock
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.state.control.Membership
 import org.verbenagauge.entry.state.control.MembershipEdit
 import org.verbenagauge.entry.state.control.RemoveCause
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Entry.kt
@@ -27,6 +27,7 @@
 import org.verbenagauge.entry.listener.TlsReloader
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.operator.AdministrationParts
 import org.verbenagauge.entry.operator.ChangeReporter
 import org.verbenagauge.entry.operator.Health
@@ -37,7 +38,6 @@
 import org.verbenagauge.entry.placement.endpointsByPool
 import org.verbenagauge.entry.placement.httpEndpointClient
 import org.verbenagauge.entry.placement.placementLog
-import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.entryRights
 import org.verbenagauge.entry.rights.fixedSplit
 import org.verbenagauge.entry.settings.EntrySettings
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountBacklog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountBacklog.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.account
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 
 /**
  * Bounds of the segments that wait for the object store.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountChain.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountChain.kt
@@ -1,5 +1,9 @@
 package org.verbenagauge.entry.account
 
+import org.verbenagauge.entry.model.HybridTime
+import org.verbenagauge.entry.model.heard
+import org.verbenagauge.entry.model.next
+
 /**
  * Bounds of one chain.
  *
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountPeers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountPeers.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.account
 
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.AccountMessage
-import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.PeerNetwork
 
 private const val HEAD_FAN_OUT = 2
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountRecord.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountRecord.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.verbenagauge.entry.Verdict
+import org.verbenagauge.entry.model.HybridTime
 
 /** JSON form of the account; the bytes of a line are what is hashed, so nothing is ever encoded again. */
 internal val accountJson =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountVerifier.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountVerifier.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.account
 
 import kotlinx.serialization.SerializationException
+import org.verbenagauge.entry.model.HybridTime
 import java.io.IOException
 
 /** Checks one chain, segment after segment in the order of their names. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/AccountWriter.kt
@@ -8,8 +8,8 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.AccountMessage
-import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.PeerListener
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/EntryAccount.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/EntryAccount.kt
@@ -4,7 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.PeerListener
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/Dispatcher.kt
@@ -2,12 +2,12 @@
 
 import org.verbenagauge.entry.Reason
 import org.verbenagauge.entry.Verdict
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.placement.EndpointPool
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.placement.Placement
 import org.verbenagauge.entry.placement.PlacementNotice
 import org.verbenagauge.entry.rights.FleetService
-import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.Rights
 import org.verbenagauge.entry.rights.noFleetService
 import org.verbenagauge.entry.state.document.QueueClass
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/HeldRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/HeldRights.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.admission
 
-import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.rights.Rights
 import java.util.PriorityQueue
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerNews.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerNews.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.OwnerMessage
-import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/account/HybridTime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/model/HybridTime.kt
@@ -1,4 +1,4 @@
-package org.verbenagauge.entry.account
+package org.verbenagauge.entry.model
 
 import kotlinx.serialization.Serializable
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/AccountMessage.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/AccountMessage.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
-import org.verbenagauge.entry.account.HybridTime
+import org.verbenagauge.entry.model.HybridTime
 
 /** Messages that tie the chains of the account together and keep what the object store does not hold yet. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/ConnectionTable.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/ConnectionTable.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.peers
 
+import org.verbenagauge.entry.model.PeerId
 import java.util.concurrent.ConcurrentHashMap
 
 /** Live connections of an entry, one for each peer. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/Hello.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/Hello.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.verbenagauge.entry.model.PeerId
 
 /** Oldest and newest protocol versions that this release speaks. */
 internal val protocolVersions = 1..1
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerConnection.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerConnection.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
+import org.verbenagauge.entry.model.PeerId
 import java.io.IOException
 import java.security.SecureRandom
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerNetwork.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerNetwork.kt
@@ -1,23 +1,12 @@
 package org.verbenagauge.entry.peers
 
 import kotlinx.serialization.Serializable
+import org.verbenagauge.entry.model.PeerId
 
 /** Message between two entry instances; one file for each family of messages. */
 @Serializable
 public sealed interface PeerMessage
 
-/**
- * Identity of one run of an entry instance; a restart makes a new incarnation.
- *
- * @property entryId name of the entry instance.
- * @property incarnation drawn at random at the start of the process.
- */
-@Serializable
-public data class PeerId(
-    val entryId: String,
-    val incarnation: Long,
-)
-
 /** Receives messages of peers; must return at once. */
 public fun interface PeerListener {
     /** Handles [message] of [from]; messages can be lost, and arrive late, twice or in another order. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/RightsMessage.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/RightsMessage.kt
@@ -4,10 +4,11 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
-import org.verbenagauge.entry.rights.Resource
-import org.verbenagauge.entry.rights.RightsGroup
-import org.verbenagauge.entry.state.control.HolderId
-import org.verbenagauge.entry.state.control.ResourceCount
+import org.verbenagauge.entry.model.HolderId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
+import org.verbenagauge.entry.model.ResourceCount
+import org.verbenagauge.entry.model.RightsGroup
 
 /** Messages that move rights between entries, and that say where they are needed. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/SocketPeerNetwork.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/SocketPeerNetwork.kt
@@ -21,6 +21,7 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.PeerId
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/StoreRelay.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/StoreRelay.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.peers.RelayMessage
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EntryRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EntryRights.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.settings.IdentitySettings
 import org.verbenagauge.entry.state.EntryState
 import org.verbenagauge.entry.state.FleetView
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EscrowRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/EscrowRights.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.peers.PeerNetwork
 import org.verbenagauge.entry.peers.RightsMessage
 import org.verbenagauge.entry.state.force.Freshness
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/FleetCounts.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/FleetCounts.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.rights
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.TeamStarted
 
 private const val PERMILLE = 1_000.0
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/HomeTable.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/HomeTable.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.rights
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.RightsGroup
 
 /** Home of each group: the reachable member with the highest hash for the group (rendezvous hashing). */
 internal class HomeTable(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/LocalDemand.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/LocalDemand.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.rights
 
+import org.verbenagauge.entry.model.RightsGroup
 import org.verbenagauge.entry.peers.GroupReport
 import org.verbenagauge.entry.peers.TeamDemand
 import kotlin.math.abs
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsCore.kt
@@ -1,7 +1,9 @@
 package org.verbenagauge.entry.rights
 
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
+import org.verbenagauge.entry.model.RightsGroup
 import org.verbenagauge.entry.peers.GroupOrder
-import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.RightsMessage
 
 private const val ORDER_LIFE_MILLIS = 1_000L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsHome.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsHome.kt
@@ -1,9 +1,10 @@
 package org.verbenagauge.entry.rights
 
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.RightsGroup
 import org.verbenagauge.entry.peers.Give
 import org.verbenagauge.entry.peers.GroupOrder
 import org.verbenagauge.entry.peers.GroupReport
-import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.RightsMessage
 import org.verbenagauge.entry.peers.TeamDemand
 import org.verbenagauge.entry.peers.TeamStarted
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsProposals.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.rights
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.HolderId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.ResourceCount
 import org.verbenagauge.entry.peers.RightsMessage
 import org.verbenagauge.entry.state.control.HolderCounts
-import org.verbenagauge.entry.state.control.HolderId
-import org.verbenagauge.entry.state.control.ResourceCount
 import org.verbenagauge.entry.state.control.RightsEdit
 
 private const val ACCOUNT_REQUEST_MILLIS = 500L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsView.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/RightsView.kt
@@ -1,6 +1,8 @@
 package org.verbenagauge.entry.rights
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
+import org.verbenagauge.entry.model.RightsGroup
 import org.verbenagauge.entry.state.control.ControlState
 import org.verbenagauge.entry.state.control.RightsState
 import org.verbenagauge.entry.state.control.limits
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/SplitRights.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/SplitRights.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.rights
 
+import org.verbenagauge.entry.model.Resource
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/TransferOutbox.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/rights/TransferOutbox.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.rights
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.peers.ResourceTotal
 import org.verbenagauge.entry.peers.RightsMessage
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/EntryState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/EntryState.kt
@@ -5,9 +5,9 @@
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.PeerAddress
 import org.verbenagauge.entry.peers.PeerEndpoint
-import org.verbenagauge.entry.peers.PeerId
 import org.verbenagauge.entry.peers.SocketPeerNetwork
 import org.verbenagauge.entry.settings.EntrySettings
 import org.verbenagauge.entry.settings.parsePeerAddress
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateEvent.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateEvent.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.StateMessage
 
 /** What happens to a [StateCore]. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/StateService.kt
@@ -12,7 +12,7 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.SocketPeerNetwork
 import org.verbenagauge.entry.peers.StateMessage
 import org.verbenagauge.entry.state.control.ControlState
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/Acceptance.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/Acceptance.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.control
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 
 /** Number of members that are a majority of [size] members; 0 of none. */
 internal fun majorityOf(size: Int): Int = if (size == 0) 0 else size / 2 + 1
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/Membership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/Membership.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 
 /**
  * Entry instance whose acknowledgement counts when a change is accepted.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/RightsEdit.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/RightsEdit.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.model.HolderId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
+import org.verbenagauge.entry.model.ResourceCount
 
 /** Edit of the rights that holders have from the change log. */
 @Serializable
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/RightsLimits.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/RightsLimits.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.control
 
-import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.state.document.Team
 
 /** Limits of all resources: the upper limit of each team, and the slots of each instance that is in a pool. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/RightsState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/control/RightsState.kt
@@ -1,20 +1,10 @@
 package org.verbenagauge.entry.state.control
 
 import kotlinx.serialization.Serializable
-import org.verbenagauge.entry.peers.PeerId
-import org.verbenagauge.entry.rights.Resource
-
-/**
- * One stay of an incarnation among the members; a member that was removed and joins again holds rights anew.
- *
- * @property id incarnation.
- * @property joinedVersion version of the change log from which it may hold rights.
- */
-@Serializable
-public data class HolderId(
-    val id: PeerId,
-    val joinedVersion: Long,
-)
+import org.verbenagauge.entry.model.HolderId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
+import org.verbenagauge.entry.model.ResourceCount
 
 /**
  * An entry instance that holds rights or may have held some.
@@ -32,18 +22,6 @@
     val departedVersion: Long? = null,
 )
 
-/**
- * Number of one resource.
- *
- * @property resource resource.
- * @property count number, may be negative where it is a difference.
- */
-@Serializable
-public data class ResourceCount(
-    val resource: Resource,
-    val count: Int,
-)
-
 /**
  * Numbers of one holder.
  *
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/Confirmation.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/Confirmation.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.force
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.state.control.ControlState
 import org.verbenagauge.entry.state.control.limits
 import org.verbenagauge.entry.state.control.majorityOf
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/MembershipPlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/force/MembershipPlanner.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.force
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.state.control.Member
 import org.verbenagauge.entry.state.control.Membership
 import org.verbenagauge.entry.state.control.MembershipEdit
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeHistory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeHistory.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.serialization.SerializationException
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.state.control.ApplyOutcome
 import org.verbenagauge.entry.state.control.Change
 import org.verbenagauge.entry.state.control.ControlState
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/Snapshots.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/Snapshots.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.state.log
 
 import kotlinx.serialization.SerializationException
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.StateMessage
 import org.verbenagauge.entry.state.control.ControlState
 import org.verbenagauge.entry.state.document.changeJson
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/account/AccountWriterTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/account/AccountWriterTest.kt
@@ -9,7 +9,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.yield
 import org.verbenagauge.entry.logging.EventLog
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.state.store.ObjectStore
 import org.verbenagauge.entry.state.store.ReadOutcome
 import org.verbenagauge.entry.state.store.WriteOutcome
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/DispatcherTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/DispatcherTest.kt
@@ -6,10 +6,10 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.placement.EndpointAddress
 import org.verbenagauge.entry.placement.EndpointView
 import org.verbenagauge.entry.rights.FleetService
-import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import org.verbenagauge.entry.rights.noFleetService
 import org.verbenagauge.entry.state.document.Queue
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceFuzzTest.kt
@@ -15,7 +15,7 @@
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.Verdict
 import org.verbenagauge.entry.account.JobRecord
-import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import org.verbenagauge.entry.rights.fixedSplit
 import org.verbenagauge.entry.state.document.Configuration
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
@@ -14,10 +14,10 @@
 import org.verbenagauge.entry.Job
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.placement.EndpointAddress
 import org.verbenagauge.entry.placement.EndpointClient
 import org.verbenagauge.entry.placement.EndpointView
-import org.verbenagauge.entry.rights.Resource
 import org.verbenagauge.entry.rights.Rights
 import org.verbenagauge.entry.state.document.Configuration
 import org.verbenagauge.entry.state.document.Pool
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/FrameFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/FrameFuzzTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.utils.io.ByteReadChannel
+import org.verbenagauge.entry.model.PeerId
 import java.io.IOException
 import java.nio.ByteBuffer
 import kotlin.random.Random
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/SocketPeerNetworkTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/SocketPeerNetworkTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.yield
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.PeerId
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/placement/EndpointPoolTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/placement/EndpointPoolTest.kt
@@ -7,7 +7,7 @@
 import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
-import org.verbenagauge.entry.rights.Resource
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.rights.SplitRights
 import kotlin.random.Random
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/EscrowRightsModel.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/EscrowRightsModel.kt
@@ -2,11 +2,12 @@
 
 import org.jetbrains.lincheck.datastructures.Operation
 import org.verbenagauge.entry.clock.Clock
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.HolderId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.peers.PeerListener
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
-import org.verbenagauge.entry.state.control.HolderId
 import org.verbenagauge.entry.state.control.RightsHolder
 import org.verbenagauge.entry.state.control.RightsState
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FakeRightsLog.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/FakeRightsLog.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.rights
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.Resource
 import org.verbenagauge.entry.state.control.PartOutcome
 import org.verbenagauge.entry.state.control.RightsEdit
 import org.verbenagauge.entry.state.control.RightsState
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/RightsOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/RightsOracle.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.rights
 
+import org.verbenagauge.entry.model.Resource
+
 /** Sees everything and knows which number of rights may be in use at most. */
 internal class RightsOracle {
     private val allowed = HashMap<Resource, Int>()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/RightsTargetsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/rights/RightsTargetsTest.kt
@@ -3,7 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.TeamDemand
 
 class RightsTargetsTest :
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimEntry.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.state.sim
 
 import org.verbenagauge.entry.clock.Clock
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.StateMessage
 import org.verbenagauge.entry.state.StateAction
 import org.verbenagauge.entry.state.StateCore
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFaults.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFaults.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.sim
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 
 /**
  * Faults of the network and the store that are in force.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFleet.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimFleet.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.sim
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.StateMessage
 import org.verbenagauge.entry.state.force.ForceLimits
 import org.verbenagauge.fake.FakeRows
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/state/sim/SimOracle.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.entry.state.sim
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.state.ChangeLogRows
 import org.verbenagauge.entry.state.control.acceptedVersion
 import org.verbenagauge.entry.state.log.ProposeOutcome
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakePeerHub.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/fake/FakePeerHub.kt
@@ -1,6 +1,6 @@
 package org.verbenagauge.fake
 
-import org.verbenagauge.entry.peers.PeerId
+import org.verbenagauge.entry.model.PeerId
 import org.verbenagauge.entry.peers.PeerListener
 import org.verbenagauge.entry.peers.PeerMessage
 import org.verbenagauge.entry.peers.PeerNetwork
