Log documents that cannot be read; order a pace again while a target is exceeded; one hash

Causes, from reading the change: a configuration or a worker's entry of another shape was passed over without a line; an order to slow a filler that was lost was never given again, since its pace counted as set; keys were hashed by a second copy of the function.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/ControlStateCommand.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/ControlStateCommand.kt
@@ -5,6 +5,7 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.serialization.json.Json
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.control.ApplyOutcome
 import org.verbenagauge.entry.state.control.ConfigurationEdit
 import org.verbenagauge.entry.state.control.ControlState
@@ -16,7 +17,6 @@
 import org.verbenagauge.entry.state.document.Queue
 import org.verbenagauge.entry.state.document.Team
 import org.verbenagauge.entry.state.document.TeamKey
-import org.verbenagauge.entry.state.document.sha256Hex
 
 private const val NANOS_PER_MICRO = 1_000L
 private const val GC_ROUNDS = 3
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/DemoConfiguration.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/DemoConfiguration.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.standin
 
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.document.AvailabilityBudget
 import org.verbenagauge.entry.state.document.Configuration
 import org.verbenagauge.entry.state.document.Pool
@@ -7,7 +8,6 @@
 import org.verbenagauge.entry.state.document.QueueClass
 import org.verbenagauge.entry.state.document.Team
 import org.verbenagauge.entry.state.document.TeamKey
-import org.verbenagauge.entry.state.document.sha256Hex
 
 /** Key of the demo team [teamId]. */
 public fun demoKey(teamId: String): String = "demo-key-of-$teamId"
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/PlatformStandIn.kt
@@ -21,7 +21,7 @@
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.Json
-import org.verbenagauge.entry.state.document.sha256Hex
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.store.ActRequest
 import org.verbenagauge.entry.state.store.InstanceAction
 import org.verbenagauge.entry.state.store.InstancePhase
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/KeyRing.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/admission/KeyRing.kt
@@ -1,9 +1,9 @@
 package org.verbenagauge.entry.admission
 
 import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.document.Configuration
 import org.verbenagauge.entry.state.document.Team
-import org.verbenagauge.entry.state.document.sha256Hex
 import java.security.MessageDigest
 
 private const val BEARER_PREFIX = "Bearer "
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/DriverRank.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/fleet/DriverRank.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.fleet
 
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.peers.PeerNetwork
-import org.verbenagauge.entry.state.document.sha256Hex
 
 /**
  * Returns the position of the local entry among the reachable ones, 0 for the first: rendezvous hashing
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/ClaimRecord.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/idempotency/ClaimRecord.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.verbenagauge.entry.JobAnswer
-import org.verbenagauge.entry.state.document.sha256Hex
+import org.verbenagauge.entry.model.sha256Hex
 import java.security.MessageDigest
 import java.util.Base64
 import java.util.HexFormat
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/PaceGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/PaceGuard.kt
@@ -18,7 +18,8 @@
             val pressure = worker.runs.values.maxOf { pressure(it) }
             val current = fillers.minOf { it.pacePercentage }
             val next = nextPace(current, pressure)
-            fillers.filter { it.pacePercentage != next }.forEach { run ->
+            // An order may have been lost, so that a pace is ordered again while a target is exceeded.
+            fillers.filter { it.pacePercentage != next || pressure > HIGH_PRESSURE }.forEach { run ->
                 run.pacePercentage = next
                 changedAtMillis[worker.id] = now
                 state.act(EngineAction.Pace(worker.listed.address, run.taskId, run.runId, next))
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/JobsConfiguration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/JobsConfiguration.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.jobs.model
 
+import org.verbenagauge.entry.model.sha256Hex
+
 /**
  * Document of the operator that says who may run what and where.
  *
@@ -36,7 +38,7 @@
             ?.maxByOrNull { it.pathPrefix.length }
 
     /** Returns the team that holds [key], or null. */
-    public fun teamOf(key: String): String? = teamByKeyHash[KeyHash.of(key)]
+    public fun teamOf(key: String): String? = teamByKeyHash[sha256Hex(key)]
 }
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminApi.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/AdminApi.kt
@@ -14,6 +14,7 @@
 import io.ktor.server.routing.routing
 import kotlinx.serialization.KSerializer
 import org.verbenagauge.entry.account.AccountStatus
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.control.ConfigurationEdit
 import org.verbenagauge.entry.state.document.Configuration
 import org.verbenagauge.entry.state.document.OperatorAccount
@@ -22,7 +23,6 @@
 import org.verbenagauge.entry.state.document.Team
 import org.verbenagauge.entry.state.document.TeamKey
 import org.verbenagauge.entry.state.document.Wave
-import org.verbenagauge.entry.state.document.sha256Hex
 import org.verbenagauge.entry.state.store.ReadOutcome
 
 private const val MAX_DOCUMENT_BYTES = 4_194_304L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/OperatorIdentity.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/OperatorIdentity.kt
@@ -1,10 +1,10 @@
 package org.verbenagauge.entry.operator
 
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.document.Configuration
 import org.verbenagauge.entry.state.document.OperatorAccount
 import org.verbenagauge.entry.state.document.OperatorRight
 import org.verbenagauge.entry.state.document.Team
-import org.verbenagauge.entry.state.document.sha256Hex
 import java.security.MessageDigest
 
 /** Name of the operator who holds the bootstrap key. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
@@ -20,6 +20,7 @@
 import kotlinx.html.p
 import kotlinx.io.readByteArray
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.operator.AdminOutcome
 import org.verbenagauge.entry.operator.Administration
 import org.verbenagauge.entry.operator.ChangeRequest
@@ -34,7 +35,6 @@
 import org.verbenagauge.entry.operator.problemOf
 import org.verbenagauge.entry.state.control.ConfigurationEdit
 import org.verbenagauge.entry.state.document.OperatorAccount
-import org.verbenagauge.entry.state.document.sha256Hex
 import org.verbenagauge.entry.state.store.ReadOutcome
 import java.util.UUID
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/AuditTrail.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/AuditTrail.kt
@@ -1,8 +1,8 @@
 package org.verbenagauge.entry.state.log
 
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.control.Change
 import org.verbenagauge.entry.state.control.decodeChange
-import org.verbenagauge.entry.state.document.sha256Hex
 import org.verbenagauge.entry.state.store.ReadOutcome
 import org.verbenagauge.entry.state.store.TableService
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeHistory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeHistory.kt
@@ -5,12 +5,12 @@
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.serialization.SerializationException
 import org.verbenagauge.entry.model.PeerId
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.control.ApplyOutcome
 import org.verbenagauge.entry.state.control.Change
 import org.verbenagauge.entry.state.control.ControlState
 import org.verbenagauge.entry.state.control.MembershipEdit
 import org.verbenagauge.entry.state.control.decodeChange
-import org.verbenagauge.entry.state.document.sha256Hex
 
 private const val MAX_KEPT_CHARS = 2 * 1_024 * 1_024
 private const val MAX_KNOWN_OPERATIONS = 4_096
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/log/ChangeLog.kt
@@ -5,12 +5,12 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.control.ApplyOutcome
 import org.verbenagauge.entry.state.control.Change
 import org.verbenagauge.entry.state.control.ControlState
 import org.verbenagauge.entry.state.control.Edit
 import org.verbenagauge.entry.state.control.encodeChange
-import org.verbenagauge.entry.state.document.sha256Hex
 import org.verbenagauge.entry.state.store.ReadOutcome
 import org.verbenagauge.entry.state.store.Row
 import org.verbenagauge.entry.state.store.RowCondition
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -10,12 +10,12 @@
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobSpecification
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
-import org.verbenagauge.entry.jobs.model.KeyHash
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
 import org.verbenagauge.entry.jobs.model.ServiceConfiguration
 import org.verbenagauge.entry.jobs.model.StepSpecification
 import org.verbenagauge.entry.jobs.model.TeamConfiguration
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
+import org.verbenagauge.entry.model.sha256Hex
 
 private const val READY = "ready"
 private const val DRAINING = "draining"
@@ -60,7 +60,7 @@
 private fun team(tenant: WireTenant) =
     TeamConfiguration(
         name = tenant.name,
-        keyHashes = tenant.apiKeys.mapTo(HashSet(), KeyHash::of),
+        keyHashes = tenant.apiKeys.mapTo(HashSet(), ::sha256Hex),
         weight = tenant.weight,
         limit = amount(tenant.maxCount),
     )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -75,7 +75,7 @@
                     store = store,
                     workers = PlatformWorkers(selector, clock, metrics),
                     advisor = parseHostPort(settings.platform.advisor)?.let { PlatformAdvisor(selector, it, clock) },
-                    workerList = PlatformWorkerList(store),
+                    workerList = PlatformWorkerList(store, log),
                     waves = parseHostPort(settings.platform.machines)?.let(::wavePorts),
                 ),
             catalogue = catalogue,
@@ -90,7 +90,7 @@
             log = log,
             rank = { (settings.entry.id.hashCode() and Int.MAX_VALUE) % RANKS },
         )
-    private val documents = OperatorDocuments(store, ::configure, ::wave)
+    private val documents = OperatorDocuments(store, log, ::configure, ::wave)
     private val callerServer = server(settings.listeners.caller) { clientRoutes(calls, dispatcher) }
     private val metricsServer =
         settings.listeners.metrics.ifEmpty { null }?.let {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
@@ -7,6 +7,9 @@
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StoredRow
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
 
 private const val OPERATOR_TABLE = "op"
 private const val CONFIGURATION_KEY = "config"
@@ -22,6 +25,7 @@
 /** Follows what the operator writes. */
 internal class OperatorDocuments(
     store: RowStore,
+    private val log: EventLog,
     private val onConfiguration: (JobsConfiguration) -> Unit,
     private val onWave: (key: String, value: ByteArray?) -> Unit,
 ) {
@@ -33,13 +37,18 @@
         follower.run(onAll = ::take, onChanges = ::take)
     }
 
+    private fun unreadable(row: StoredRow) {
+        log.write(Event.DOCUMENT_UNREADABLE, row.key, "version ${row.version}; what was read before stays in force")
+    }
+
     private fun take(batch: RowBatch) {
         batch.rows.forEach { row ->
             val value = row.value
             if (row.key != CONFIGURATION_KEY) {
                 onWave(row.key, value)
             } else if (value != null) {
-                readConfiguration(value)?.let(onConfiguration)
+                val configuration = readConfiguration(value)
+                if (configuration == null) unreadable(row) else onConfiguration(configuration)
             }
         }
     }
@@ -48,6 +57,7 @@
 /** Follows the entries of workers. */
 internal class PlatformWorkerList(
     store: RowStore,
+    private val log: EventLog,
 ) : WorkerList {
     private val follower = TableFollower(store, listOf(RowPlace(WORKER_TABLE)), WORKER_WAIT_MILLIS, WORKER_PAUSE_MILLIS)
 
@@ -56,15 +66,21 @@
         onChange: (workerId: String, worker: ListedWorker?) -> Unit,
     ) {
         follower.run(
-            onAll = { batch -> onAll(batch.rows.mapNotNull { row -> row.value?.let { readWorker(row.key, it) } }) },
+            onAll = { batch -> onAll(batch.rows.mapNotNull(::worker)) },
             onChanges = { batch ->
                 batch.rows.forEach { row ->
-                    val value = row.value
-                    val worker = value?.let { readWorker(row.key, it) }
+                    val worker = worker(row)
                     // An entry that cannot be read says nothing of the worker.
-                    if (value == null || worker != null) onChange(row.key, worker)
+                    if (row.value == null || worker != null) onChange(row.key, worker)
                 }
             },
         )
     }
+
+    private fun worker(row: StoredRow): ListedWorker? {
+        val value = row.value ?: return null
+        val worker = readWorker(row.key, value)
+        if (worker == null) log.write(Event.DOCUMENT_UNREADABLE, row.key, "version ${row.version}; it names no worker")
+        return worker
+    }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FuzzWorld.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/FuzzWorld.kt
@@ -7,6 +7,7 @@
 import org.verbenagauge.entry.Job
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.placement.EndpointAddress
 import org.verbenagauge.entry.placement.EndpointClient
 import org.verbenagauge.entry.placement.EndpointView
@@ -17,7 +18,6 @@
 import org.verbenagauge.entry.state.document.QueueClass
 import org.verbenagauge.entry.state.document.Team
 import org.verbenagauge.entry.state.document.TeamKey
-import org.verbenagauge.entry.state.document.sha256Hex
 import kotlin.random.Random
 
 /** How an endpoint of the fuzz behaves for a while. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/admission/JobServiceTest.kt
@@ -15,6 +15,7 @@
 import org.verbenagauge.entry.JobAnswer
 import org.verbenagauge.entry.Reason
 import org.verbenagauge.entry.model.Resource
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.placement.EndpointAddress
 import org.verbenagauge.entry.placement.EndpointClient
 import org.verbenagauge.entry.placement.EndpointView
@@ -24,7 +25,6 @@
 import org.verbenagauge.entry.state.document.Queue
 import org.verbenagauge.entry.state.document.Team
 import org.verbenagauge.entry.state.document.TeamKey
-import org.verbenagauge.entry.state.document.sha256Hex
 
 private const val RUN_MILLIS = 100L
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdminApiTest.kt
@@ -20,9 +20,9 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.verbenagauge.entry.account.AccountStatus
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.settings.AdministrationSettings
 import org.verbenagauge.entry.state.FleetView
-import org.verbenagauge.entry.state.document.sha256Hex
 import org.verbenagauge.entry.state.log.ChangeLog
 import org.verbenagauge.entry.state.log.InForceLog
 import org.verbenagauge.entry.state.log.changeLog
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/AdministrationRaceTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.state.control.ApplyOutcome
 import org.verbenagauge.entry.state.control.ConfigurationEdit
 import org.verbenagauge.entry.state.control.ControlState
@@ -15,7 +16,6 @@
 import org.verbenagauge.entry.state.document.Queue
 import org.verbenagauge.entry.state.document.Team
 import org.verbenagauge.entry.state.document.TeamKey
-import org.verbenagauge.entry.state.document.sha256Hex
 import org.verbenagauge.entry.state.log.AuditTrail
 import org.verbenagauge.entry.state.log.InForceLog
 import org.verbenagauge.entry.state.log.changeLog
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/console/ConsoleTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/operator/console/ConsoleTest.kt
@@ -19,9 +19,9 @@
 import io.ktor.http.formUrlEncode
 import io.ktor.http.setCookie
 import io.ktor.server.testing.ApplicationTestBuilder
+import org.verbenagauge.entry.model.sha256Hex
 import org.verbenagauge.entry.operator.AdminFixture
 import org.verbenagauge.entry.operator.send
-import org.verbenagauge.entry.state.document.sha256Hex
 import kotlin.random.Random
 
 private const val FUZZ_REQUESTS = 500
