Count a lasting task on a silent worker as away; keep five machines in a pool at rest

Ruled out: two tasks on the machine that went, and the evacuation before it. A task counts as at work only while its worker answers; the test failed before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
@@ -8,29 +8,40 @@
     fun mayEnd(
         worker: WorkerEntry,
         alsoEnding: Set<String>,
+        now: Long,
     ): Boolean =
         worker.runs.values
             .filter { it.specification.isLasting }
-            .all { mayEnd(it, alsoEnding + worker.id) }
+            .all { mayEnd(it, alsoEnding + worker.id, now) }
 
     /** Whether [run] may end now. */
     fun mayEnd(
         run: Run,
         alsoEnding: Set<String>,
+        now: Long,
     ): Boolean {
         val step =
             state.jobs[run.taskId.jobId]
                 ?.task(run.taskId)
                 ?.step ?: return true
-        val away = step.tasks.count { it.id != run.taskId && !isAtWork(it, alsoEnding) }
+        val away = step.tasks.count { it.id != run.taskId && !isAtWork(it, alsoEnding, now) }
         return away < maxOf(1, step.specification.mayMiss ?: 1)
     }
 
     private fun isAtWork(
         task: TaskEntry,
         alsoEnding: Set<String>,
+        now: Long,
     ): Boolean {
         val run = task.run ?: return false
-        return run.phase == RunPhase.RUNNING && run.percent >= FULL_PACE && run.workerId !in alsoEnding
+        if (run.phase != RunPhase.RUNNING || run.percent < FULL_PACE || run.workerId in alsoEnding) return false
+        // What a worker listed before it fell silent says nothing of now.
+        val worker = state.workers[run.workerId] ?: return false
+        return worker.firstFailureMillis == null && now - worker.lastAnswerMillis < FRESH_MILLIS
+    }
+
+    private companion object {
+        // Workers with runs are listed once a second.
+        const val FRESH_MILLIS = 2_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolSizer.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolSizer.kt
@@ -81,6 +81,6 @@
         const val HEADROOM = 1.15
 
         // What takes the first moments of a turn, until more machines have come.
-        const val LEAST_MACHINES = 3
+        const val LEAST_MACHINES = 5
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -56,11 +56,11 @@
                 return@forEach
             }
             if (!isEmptied(worker, progress, id, now)) return@forEach
-            if (guard.mayEnd(worker, ending)) {
+            if (guard.mayEnd(worker, ending, now)) {
                 order += machine
                 ending += worker.id
             } else if (stop.isEmpty()) {
-                crowded(worker, ending)?.let { stop += it }
+                crowded(worker, ending, now)?.let { stop += it }
             }
         }
         val room = progress.wave.maxAtOnce - down.size - order.size
@@ -72,12 +72,13 @@
     private fun crowded(
         worker: WorkerEntry,
         ending: Set<String>,
+        now: Long,
     ): Run? =
         worker.runs.values
             .filter { it.specification.isLasting && it.phase == RunPhase.RUNNING }
             .groupBy { it.taskId.jobId to it.taskId.step }
             .values
-            .firstOrNull { it.size > 1 && guard.mayEnd(it.first(), ending) }
+            .firstOrNull { it.size > 1 && guard.mayEnd(it.first(), ending, now) }
             ?.first()
 
     // Machines that run no worker, such as those on standby, need no emptying.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -252,7 +252,24 @@
             engine.listed("w1", listing(running = runs), 10, 20)
             val worker = engine.state.workers.getValue("w1")
             val guard = LastingGuard(engine.state)
-            guard.mayEnd(worker, emptySet()) shouldBe false
-            guard.mayEnd(worker.runs.values.first(), emptySet()) shouldBe true
+            guard.mayEnd(worker, emptySet(), now = 30) shouldBe false
+            guard.mayEnd(worker.runs.values.first(), emptySet(), now = 30) shouldBe true
+        }
+
+        test("a lasting task on a worker that has fallen silent counts as away") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(2, isLasting = true, maxPerWorker = 1, mayMiss = 1)), now = 0)
+            val starts = engine.decide(0, 0).starts()
+            starts.forEach { start ->
+                val workerId = start.address.workerId
+                engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 5)
+                val run = running(start.order.taskId, start.order.runId, percent = 100)
+                engine.listed(workerId, listing(running = listOf(run)), 10, 20)
+            }
+            val guard = LastingGuard(engine.state)
+            val worker = engine.state.workers.getValue("w1")
+            guard.mayEnd(worker, emptySet(), now = 30) shouldBe true
+            engine.listed("w2", ListingOutcome.Failed("silent"), 30, 600)
+            guard.mayEnd(worker, emptySet(), now = 601) shouldBe false
         }
     })
