--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -41,7 +41,8 @@
         empty(progress, open.mapNotNull(byId::get), down, now)
         val order = ArrayList<Machine>()
         val stop = ArrayList<Run>()
-        val ending = HashSet<String>()
+        // What an order on its way ends counts as ended, although nothing tells of it yet.
+        val ending = progress.inFlight.mapNotNullTo(HashSet()) { byId[it]?.workerId }
         progress.emptyingSinceMillis.keys.toList().forEach { id ->
             val machine = byId[id]
             val worker = machine?.workerId?.let { state.workers[it] }
