Apply changed limits; drop a setting that nothing reads

Cause, from reading the change as a newcomer: the settings file was read again without any effect, and the template filled a field that no code used. Limits of the lease and of the stop now apply at the owner's next term and the next stop.

--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/RunCommand.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/RunCommand.kt
@@ -37,7 +37,7 @@
                 Runtime.getRuntime().addShutdownHook(
                     Thread {
                         val stopping = Thread(entry::stop, "stop").also { it.start() }
-                        stopping.join(outcome.settings.limits.stopMillis - STOP_MARGIN_MILLIS)
+                        stopping.join(entry.stopMillis - STOP_MARGIN_MILLIS)
                         Runtime.getRuntime().halt(if (stopping.isAlive) ExitCode.STOP_TIMEOUT.number else 0)
                     },
                 )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -29,8 +29,7 @@
                 job.open.values.forEach { occurrence ->
                     occurrence.steps.filter { it.isOpen && !it.isDone }.forEach { step ->
                         val limit = configuration.teams[job.record.teamName]?.limit
-                        val guarded = configuration.services[service]?.guardsRoom ?: false
-                        StepPass(step, workers, limit, guarded, now).run()
+                        StepPass(step, workers, limit, now).run()
                     }
                 }
             }
@@ -57,7 +56,6 @@
         private val step: StepEntry,
         private val workers: List<WorkerEntry>,
         private val limit: Amount?,
-        private val guarded: Boolean,
         private val now: Long,
     ) {
         private val specification: StepSpecification = step.specification
@@ -160,7 +158,7 @@
             state.note(
                 NoteKind.RUN_ORDERED,
                 task.id.toString(),
-                "run ${run.runId} on ${worker.id}, free ${worker.free.cpuMillis} guarded $guarded, " +
+                "run ${run.runId} on ${worker.id}, free ${worker.free.cpuMillis}m, " +
                     "waited ${now - task.readySinceMillis} ms",
             )
             if (job.state == JobState.QUEUED) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -24,6 +24,7 @@
 /**
  * Takes the duty of the owner when nobody holds it, and carries it out until it is lost.
  *
+ * @param limits times of the engine, read at the start of each term.
  * @param rank position of this entry among those that wait; later ones wait longer, so that they do not race.
  */
 internal class Ownership(
@@ -32,7 +33,7 @@
     private val catalogue: StateCatalogue,
     private val clock: Clock,
     private val settings: OwnerSettings,
-    private val limits: EngineLimits,
+    private val limits: () -> EngineLimits,
     private val log: EventLog,
     private val rank: () -> Int,
 ) : Child {
@@ -101,7 +102,7 @@
         }
         log.write(Event.OWNERSHIP_TAKEN, "epoch ${record.epoch}, after '${seen.record?.entryId}'")
         val chain = OwnerChain(ports.store, clock, record, outcome.version, sentAtMillis)
-        val newEngine = JobEngine(record.epoch, limits, clock.monotonicMillis())
+        val newEngine = JobEngine(record.epoch, limits(), clock.monotonicMillis())
         newEngine.configure(current)
         val janitor = Janitor(ports.store, clock)
         val workVersion = inherit(newEngine, janitor) ?: return
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -50,6 +50,11 @@
     private val settings: PlatformEntrySettings,
     private val settingsFile: Path? = null,
 ) {
+    @Volatile private var limits = settings.limits
+
+    /** Time from the signal to stop until the process is killed. */
+    public val stopMillis: Long get() = limits.stopMillis
+
     private val clock = systemClock()
     private val registry = PrometheusRegistry()
     private val metrics = JobMetrics(registry)
@@ -81,12 +86,7 @@
             catalogue = catalogue,
             clock = clock,
             settings = OwnerSettings(),
-            limits =
-                EngineLimits(
-                    ownerLeaseMillis = OwnerSettings().leaseMillis,
-                    leaseMillis = minOf(EngineLimits().leaseMillis, settings.limits.leaseMaxMillis),
-                    longestLeaseMillis = settings.limits.leaseMaxMillis,
-                ),
+            limits = { engineLimits(limits) },
             log = log,
             rank = { (settings.entry.id.hashCode() and Int.MAX_VALUE) % RANKS },
         )
@@ -114,7 +114,10 @@
         metricsServer?.start(wait = false)
         settingsFile?.let(::watch)
         gauges()
-        log.write(Event.ENTRY_STARTED, "caller ${settings.listeners.caller}, store ${settings.platform.store}")
+        log.write(
+            Event.ENTRY_STARTED,
+            "zone ${settings.entry.zoneId}, caller ${settings.listeners.caller}, store ${settings.platform.store}",
+        )
     }
 
     /** Gives duties up, finishes what was taken in, and ends. */
@@ -134,8 +137,17 @@
         LogManager.shutdown()
     }
 
+    private fun engineLimits(current: DeploymentLimits): EngineLimits {
+        val standard = EngineLimits()
+        return standard.copy(
+            leaseMillis = minOf(standard.leaseMillis, current.leaseMaxMillis),
+            longestLeaseMillis = current.leaseMaxMillis,
+            ownerLeaseMillis = OwnerSettings().leaseMillis,
+        )
+    }
+
     private fun watch(file: Path) {
-        val watch = SettingsWatch(file, log, settings, onChange = {})
+        val watch = SettingsWatch(file, log, settings) { limits = it }
         watch.listen()
         scope.launch { watch.run() }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
@@ -72,13 +72,11 @@
  *
  * @property leaseMaxMillis longest lease that workers grant.
  * @property stopMillis time from the signal to stop until the process is killed.
- * @property startupNoticeMillis time for which a lasting task counts as away after its start.
  */
 @Serializable
 public data class DeploymentLimits(
     val leaseMaxMillis: Long = 6_000,
     val stopMillis: Long = 6_000,
-    val startupNoticeMillis: Long = 4_500,
 )
 
 /** Outcome of reading settings of an entry on the platform. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/SettingsWatch.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/SettingsWatch.kt
@@ -8,14 +8,14 @@
 import java.nio.file.Path
 
 /**
- * Takes up a changed settings file, at SIGHUP and without any signal. Limits apply at once; addresses need a restart,
- * which the log says.
+ * Takes up a changed settings file, at SIGHUP and without any signal. Limits apply from the next term of the owner and at
+ * the next stop; addresses and names need a restart, which the log says.
  */
 internal class SettingsWatch(
     private val file: Path,
     private val log: EventLog,
     private var current: PlatformEntrySettings,
-    private val onChange: (PlatformEntrySettings) -> Unit,
+    private val onLimits: (DeploymentLimits) -> Unit,
 ) {
     private val hangups = Channel<Unit>(Channel.CONFLATED)
 
@@ -52,7 +52,7 @@
         val rest = if (needsRestart) "; addresses and names apply at the next start" else ""
         log.write(Event.SETTINGS_RELOADED, "$file has changed$rest")
         current = read
-        onChange(read)
+        onLimits(read.limits)
     }
 
     private companion object {
