End no lasting task while the order that ended another is unanswered

The wave counted only orders on their way as endings; once an order had got no answer, its worker counted as at work again for up to two seconds, as did workers of machines that another wave had ordered or that the list shows as down, and as did what an earlier owner had ordered just before the takeover. An order without an answer that had been carried out was also never settled: its machine stayed counted as down and the wave could not complete.

Ruled out: listings that are too rare. A task that ends by itself counts as away only after 4.5 s, far longer than the two seconds for which a listing is believed.

Change: machines ordered and not seen up since count as ending, in all waves; orders without an answer are repeated; a refusal after one says nothing of it; nothing lasting is ended in the first 2.5 s of a term; a failed read of the list does not settle an order.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
@@ -24,6 +24,7 @@
             state.jobs[run.taskId.jobId]
                 ?.task(run.taskId)
                 ?.step ?: return true
+        if (now - state.startedAtMillis < SETTLING_MILLIS) return false
         val away = step.tasks.count { it.id != run.taskId && !isAtWork(it, alsoEnding, now) }
         return away < maxOf(1, step.specification.mayMiss ?: 1)
     }
@@ -43,5 +44,8 @@
     private companion object {
         // Workers with runs are listed once a second.
         const val FRESH_MILLIS = 2_000L
+
+        // Lease of an owner and the time limit of an order: what an earlier owner ordered is seen after that.
+        const val SETTLING_MILLIS = 2_500L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
@@ -33,7 +33,10 @@
     /** Machines that were ordered down, with the time of the first order. */
     val orderedAtMillis = HashMap<String, Long>()
 
-    /** Orders that have no answer yet. */
+    /** Machines of which an order has got no answer, so that it may have been carried out. */
+    val uncertain = HashSet<String>()
+
+    /** Orders that are on their way. */
     val inFlight = HashSet<String>()
 
     /** Returns what has to be stored. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -73,7 +73,8 @@
         scope: CoroutineScope,
         progress: WaveProgress,
     ) {
-        val step = steps.next(progress, board.machines, board.readAtMillis, clock.monotonicMillis())
+        val others = progressByWave.values.filter { it !== progress }
+        val step = steps.next(progress, board.machines, board.readAtMillis, clock.monotonicMillis(), others)
         step.stop.forEach { engine.stop(it, clock.monotonicMillis()) }
         step.order.forEach { machine ->
             progress.inFlight += machine.machineId
@@ -109,24 +110,38 @@
                 release(progress, machine)
             }
 
-            is MachineOutcome.Busy, is MachineOutcome.TryLater -> {
-                progress.orderedAtMillis.remove(machine.machineId)
-                release(progress, machine)
+            is MachineOutcome.Busy, is MachineOutcome.TryLater -> refused(progress, machine)
+            is MachineOutcome.Unanswered -> {
+                progress.uncertain += machine.machineId
+                delay(TICK_MILLIS)
             }
-
-            is MachineOutcome.Unanswered -> delay(TICK_MILLIS)
         }
         progress.inFlight -= machine.machineId
     }
 
+    // Says nothing of an earlier order without an answer, which stays in force until one is answered.
+    private suspend fun refused(
+        progress: WaveProgress,
+        machine: Machine,
+    ) {
+        if (machine.machineId in progress.uncertain) {
+            delay(REFUSED_MILLIS)
+            return
+        }
+        progress.orderedAtMillis.remove(machine.machineId)
+        release(progress, machine)
+    }
+
     // The platform answers alike when the maintenance was done before: only the list tells whether the worker is gone.
     private suspend fun settle(
         progress: WaveProgress,
         machine: Machine,
     ) {
         val workerId = machine.workerId ?: return
+        val doneAtMillis = clock.monotonicMillis()
         repeat(SETTLE_READS) {
             board.read()
+            if (board.readAtMillis < doneAtMillis) return@repeat delay(TICK_MILLIS)
             val listed = board.machines.firstOrNull { it.machineId == machine.machineId }
             if (listed == null || !listed.isUp || listed.workerId != workerId) {
                 engine.ended(workerId, clock.monotonicMillis())
@@ -182,6 +197,9 @@
         val wavePlace = RowPlace("waves")
         const val TICK_MILLIS = 100L
 
+        // The time between two reads of the list of machines.
+        const val REFUSED_MILLIS = 500L
+
         const val STORE_TIMEOUT_MILLIS = 700L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -28,12 +28,13 @@
     private val state: EngineState,
     private val guard: LastingGuard,
 ) {
-    /** Decides on [progress] with the [machines] of the platform, read at [readAtMillis]. */
+    /** Decides on [progress] beside [others] with the [machines] of the platform, read at [readAtMillis]. */
     fun next(
         progress: WaveProgress,
         machines: List<Machine>,
         readAtMillis: Long,
         now: Long,
+        others: Collection<WaveProgress> = emptyList(),
     ): WaveStep {
         val byId = machines.associateBy { it.machineId }
         val open = progress.wave.machineIds.filter { it !in progress.done && it in byId }
@@ -41,8 +42,11 @@
         empty(progress, open.mapNotNull(byId::get), down, now)
         val order = ArrayList<Machine>()
         val stop = ArrayList<Run>()
-        // What an order on its way ends counts as ended, although nothing tells of it yet.
-        val ending = progress.inFlight.mapNotNullTo(HashSet()) { byId[it]?.workerId }
+        val ending = ending(down + others.flatMap { down(it, byId, readAtMillis) }, byId)
+        unanswered(open, progress, byId).forEach { machine ->
+            val worker = machine.workerId?.let { state.workers[it] }
+            if (worker == null || guard.mayEnd(worker, ending, now)) order += machine
+        }
         progress.emptyingSinceMillis.keys.toList().forEach { id ->
             val machine = byId[id]
             val worker = machine?.workerId?.let { state.workers[it] }
@@ -50,12 +54,7 @@
                 release(progress, id, worker)
                 return@forEach
             }
-            if (id in progress.inFlight ||
-                down.size + order.size >= progress.wave.maxAtOnce &&
-                id !in down
-            ) {
-                return@forEach
-            }
+            if (id in progress.orderedAtMillis || (down + order.map { it.machineId }).size >= progress.wave.maxAtOnce) return@forEach
             if (!isEmptied(worker, progress, id, now)) return@forEach
             if (guard.mayEnd(worker, ending, now)) {
                 order += machine
@@ -64,11 +63,33 @@
                 crowded(worker, ending, now)?.let { stop += it }
             }
         }
-        val room = progress.wave.maxAtOnce - down.size - order.size
+        val room = progress.wave.maxAtOnce - (down + order.map { it.machineId }).size
         order += idle(open, progress, byId).take(maxOf(0, room))
         return WaveStep(order, stop, isFinished = open.isEmpty())
     }
 
+    // Workers that an order has ended or may still end: until the list shows their machine up again, what they listed
+    // before says nothing of now.
+    private fun ending(
+        downIds: Set<String>,
+        byId: Map<String, Machine>,
+    ): MutableSet<String> =
+        state.workers.values
+            .filter { worker ->
+                val machineId = worker.listed.machineId
+                machineId in downIds || byId[machineId]?.isUp == false
+            }.mapTo(HashSet()) { it.id }
+
+    // Ordered again until there is an answer, since the order may be carried out at any time.
+    private fun unanswered(
+        open: List<String>,
+        progress: WaveProgress,
+        byId: Map<String, Machine>,
+    ): List<Machine> =
+        open
+            .filter { it in progress.orderedAtMillis && it !in progress.inFlight }
+            .mapNotNull(byId::get)
+
     // A lasting run that may end now and has another task of its step beside it.
     private fun crowded(
         worker: WorkerEntry,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -65,7 +65,7 @@
     capacity = Amount(cpuMillis, 100_000),
     isReady = true,
     bornUnixMillis = BORN,
-    machineId = "",
+    machineId = id.replace('w', 'm'),
 )
 
 internal fun listing(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -249,11 +249,11 @@
             val starts = engine.decide(0, 0).starts()
             starts.forEach { engine.started("w1", it.order, OrderOutcome.Done(1_000), now = 5) }
             val runs = starts.map { running(it.order.taskId, it.order.runId, percent = 100) }
-            engine.listed("w1", listing(running = runs), 10, 20)
+            engine.listed("w1", listing(running = runs), 2_990, 3_000)
             val worker = engine.state.workers.getValue("w1")
             val guard = LastingGuard(engine.state)
-            guard.mayEnd(worker, emptySet(), now = 30) shouldBe false
-            guard.mayEnd(worker.runs.values.first(), emptySet(), now = 30) shouldBe true
+            guard.mayEnd(worker, emptySet(), now = 3_010) shouldBe false
+            guard.mayEnd(worker.runs.values.first(), emptySet(), now = 3_010) shouldBe true
         }
 
         test("a lasting task on a worker that has fallen silent counts as away") {
@@ -264,12 +264,12 @@
                 val workerId = start.address.workerId
                 engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 5)
                 val run = running(start.order.taskId, start.order.runId, percent = 100)
-                engine.listed(workerId, listing(running = listOf(run)), 10, 20)
+                engine.listed(workerId, listing(running = listOf(run)), 2_990, 3_000)
             }
             val guard = LastingGuard(engine.state)
             val worker = engine.state.workers.getValue("w1")
-            guard.mayEnd(worker, emptySet(), now = 30) shouldBe true
-            engine.listed("w2", ListingOutcome.Failed("silent"), 30, 600)
-            guard.mayEnd(worker, emptySet(), now = 601) shouldBe false
+            guard.mayEnd(worker, emptySet(), now = 3_010) shouldBe true
+            engine.listed("w2", ListingOutcome.Failed("silent"), 3_030, 3_600)
+            guard.mayEnd(worker, emptySet(), now = 3_601) shouldBe false
         }
     })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveStepsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveStepsTest.kt
@@ -12,9 +12,12 @@
 import org.verbenagauge.entry.jobs.engine.starts
 import org.verbenagauge.entry.jobs.engine.step
 import org.verbenagauge.entry.jobs.model.MaintenanceWave
+import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.Machine
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 
+// Past the time in which orders of an earlier owner may still be carried out.
+private const val SETTLED = 3_000L
 private const val JOB = "00000000000000bb"
 
 private fun machine(
@@ -38,12 +41,22 @@
     engine.decide(0, 0).starts().forEach { start ->
         val workerId = start.address.workerId
         engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 5)
-        val run = running(start.order.taskId, start.order.runId, percent = 100)
-        engine.listed(workerId, listing(running = listOf(run)), 10, 20)
+        listAtWork(engine, workerId, start.order.taskId, start.order.runId, now = SETTLED)
     }
     return engine
 }
 
+private fun listAtWork(
+    engine: JobEngine,
+    workerId: String,
+    taskId: TaskId,
+    runId: Long,
+    now: Long,
+) {
+    val run = running(taskId, runId, percent = 100)
+    engine.listed(workerId, listing(running = listOf(run)), now - 10, now)
+}
+
 class WaveStepsTest :
     FunSpec({
         test("no more machines go down than the wave allows, those of an earlier owner counted") {
@@ -63,11 +76,61 @@
             val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
             val machines = (1..6).map { machine(it) }
             val progress = progress(2, maxAtOnce = 2)
-            val first = steps(engine).next(progress, machines, 10, 30).order
+            val first = steps(engine).next(progress, machines, SETTLED, SETTLED + 30).order
             first.size shouldBe 1
             progress.inFlight += first.map { it.machineId }
-            progress.orderedAtMillis[first.single().machineId] = 30
-            steps(engine).next(progress, machines, 10, 130).order.shouldBeEmpty()
+            progress.orderedAtMillis[first.single().machineId] = SETTLED + 30
+            steps(engine).next(progress, machines, SETTLED, SETTLED + 130).order.shouldBeEmpty()
+        }
+
+        test("a step does not lose a second task after an order without an answer, which is repeated") {
+            val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
+            val machines = (1..6).map { machine(it) }
+            val progress = progress(2, maxAtOnce = 2)
+            val first = steps(engine).next(progress, machines, SETTLED, SETTLED + 30).order.single()
+            progress.orderedAtMillis[first.machineId] = SETTLED + 30
+            progress.uncertain += first.machineId
+            steps(engine).next(progress, machines, SETTLED, SETTLED + 130).order shouldBe listOf(first)
+        }
+
+        test("a step does not lose a second task while the order of another wave ends the first") {
+            val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
+            val machines = (1..6).map { machine(it) }
+            val other = WaveProgress(MaintenanceWave(2, listOf("m6"), 20_000, 1), WaveRecord(), 0)
+            other.orderedAtMillis["m6"] = SETTLED + 10
+            val step = steps(engine).next(progress(2, 2), machines, SETTLED, SETTLED + 30, listOf(other))
+            step.order.shouldBeEmpty()
+        }
+
+        test("a step does not lose a task while the machine of another is listed as down") {
+            val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
+            val machines = (1..5).map { machine(it) } + machine(6, isUp = false, isInMaintenance = true)
+            val step = steps(engine).next(progress(2, 2), machines, SETTLED, SETTLED + 30)
+            step.order.shouldBeEmpty()
+        }
+
+        test("no lasting task ends in the first moments of a term, since earlier orders may still be carried out") {
+            val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
+            val machines = (1..6).map { machine(it) }
+            steps(engine).next(progress(2, 2), machines, 10, 1_000).order.shouldBeEmpty()
+        }
+
+        test("the machines of a wave that has ended serve again when the list shows them up") {
+            val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
+            val machines = (1..6).map { machine(it) }
+            val other = WaveProgress(MaintenanceWave(2, listOf("m6"), 20_000, 1), WaveRecord(listOf("m6"), true), 0)
+            other.orderedAtMillis["m6"] = SETTLED
+            val now = SETTLED + 1_000
+            val step = steps(engine).next(progress(2, 2), machines, now, now, listOf(other))
+            step.order.size shouldBe 1
+        }
+
+        test("a machine that went down after an order without an answer is ordered until the platform answers") {
+            val engine = readyEngine("w2", "w3", "w4", "w5", "w6")
+            val machines = listOf(machine(1, isUp = false, isInMaintenance = true)) + (2..6).map { machine(it) }
+            val progress = progress(1, maxAtOnce = 1)
+            progress.orderedAtMillis["m1"] = 10
+            steps(engine).next(progress, machines, 20, 30).order.map { it.machineId } shouldBe listOf("m1")
         }
 
         test("a wave is finished when every machine that stays has begun") {
