Pace waves, judge workers by enough runs, take no duty from an owner that renews

Change: EvenPace takes as few machines that serve as end the wave in time, idle ones first (naive FullPace beside it); the first sight of a wave is stored, so that a new owner keeps the pace; beats count as stopped only when the row has not been renewed since; a queue is known after twenty runs, whose mean weighs them alike; a refused takeover waits for a renewal before it is tried again.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTimes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTimes.kt
@@ -5,32 +5,40 @@
  * they only shade what was seen.
  */
 internal class RunTimes {
-    private val meanMillisByQueue = HashMap<String, Double>()
+    private class Mean(
+        var millis: Double = 0.0,
+        var runs: Int = 0,
+    )
+
+    private val meanByQueue = HashMap<String, Mean>()
 
     /** Takes note that a task of [queueName] was done after [millis]. */
     fun learn(
         queueName: String,
         millis: Long,
     ) {
-        val known = meanMillisByQueue[queueName]
-        meanMillisByQueue[queueName] =
-            if (known == null) millis.toDouble() else known + (millis - known) * LEARNING_RATE
+        val mean = meanByQueue.getOrPut(queueName) { Mean() }
+        mean.runs++
+        mean.millis += (millis - mean.millis) * maxOf(LEARNING_RATE, 1.0 / mean.runs)
     }
 
-    /** Whether a run of [queueName] was seen to the end. */
-    fun isKnown(queueName: String): Boolean = queueName in meanMillisByQueue
+    /** Whether enough runs of [queueName] were seen to the end to judge a worker by the next one. */
+    fun isKnown(queueName: String): Boolean = (meanByQueue[queueName]?.runs ?: 0) >= KNOWN_RUNS
 
     /** Expected duration of a task of [queueName] that its caller puts at [estimateMillis]. */
     fun expectMillis(
         queueName: String,
         estimateMillis: Long,
     ): Long {
-        val mean = meanMillisByQueue[queueName] ?: return estimateMillis
+        val mean = meanByQueue[queueName]?.millis ?: return estimateMillis
         return (mean + (estimateMillis - mean) * ESTIMATE_WEIGHT).toLong()
     }
 
     private companion object {
         const val LEARNING_RATE = 0.05
+
+        // The mean of fewer runs can be off by half: short tasks end first after a change of the owner.
+        const val KNOWN_RUNS = 20
         const val ESTIMATE_WEIGHT = 0.2
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
@@ -8,11 +8,13 @@
  *
  * @property doneMachineIds machines whose maintenance has begun.
  * @property isCompleted whether the wave was reported as completed.
+ * @property firstSeenUnixMillis when an owner first saw the wave, by its time of day; 0 when not known.
  */
 @Serializable
 public data class WaveRecord(
     val doneMachineIds: List<String> = emptyList(),
     val isCompleted: Boolean = false,
+    val firstSeenUnixMillis: Long = 0,
 )
 
 /** A wave and how far it is, as the owner keeps it. */
@@ -21,6 +23,7 @@
     record: WaveRecord,
     val seenAtMillis: Long,
 ) {
+    private val firstSeenUnixMillis = record.firstSeenUnixMillis
     val done = HashSet(record.doneMachineIds)
     var isCompleted = record.isCompleted
 
@@ -40,5 +43,5 @@
     val inFlight = HashSet<String>()
 
     /** Returns what has to be stored. */
-    fun record() = WaveRecord(done.sorted(), isCompleted)
+    fun record() = WaveRecord(done.sorted(), isCompleted, firstSeenUnixMillis)
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -185,8 +185,12 @@
         progressByWave[wave.number]?.let { return it }
         val read = ports.store.read(wavePlace, wave.number.toString(), STORE_TIMEOUT_MILLIS)
         if (read !is ReadResult.Read) return null
-        val record = read.value?.value?.let { RecordCodec.decode(WaveRecord.serializer(), it) } ?: WaveRecord()
-        val progress = WaveProgress(wave, record, clock.monotonicMillis())
+        val wallMillis = clock.wallMillis()
+        val stored = read.value?.value?.let { RecordCodec.decode(WaveRecord.serializer(), it) }
+        val record = stored ?: WaveRecord(firstSeenUnixMillis = wallMillis)
+        // The time of day may jump; the pace has a reserve.
+        val ageMillis = (wallMillis - record.firstSeenUnixMillis).coerceIn(0, wave.durationMillis)
+        val progress = WaveProgress(wave, record, clock.monotonicMillis() - ageMillis)
         progressByWave[wave.number] = progress
         if (!progress.isCompleted) store(progress)
         return progress
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -21,12 +21,13 @@
 )
 
 /**
- * Empties machines and takes them down, as many at once as the wave allows, fewest lasting tasks first; part of a pool
- * stays in service. A pure decision.
+ * Empties machines and takes them down, as many at once as the pace and the wave allow, idle ones and those with few
+ * lasting tasks first; part of a pool stays in service. A pure decision.
  */
 internal class WaveSteps(
     private val state: EngineState,
     private val guard: LastingGuard,
+    private val pace: WavePace = EvenPace(),
 ) {
     /** Decides on [progress] beside [others] with the [machines] of the platform, read at [readAtMillis]. */
     fun next(
@@ -144,13 +145,13 @@
                 .filter { it.isUp && it.machineId !in progress.emptyingSinceMillis && it.machineId !in down }
                 .mapNotNull { machine -> machine.workerId?.let { state.workers[it] }?.let { machine to it } }
                 .filter { (_, worker) -> worker.takesWork }
-                .sortedBy { (_, worker) -> worker.runs.values.count { it.specification.isLasting } }
-        var room = progress.wave.maxAtOnce - down.size - progress.emptyingSinceMillis.size
+                .sortedWith(order)
+        val busyAtOnce = pace.atOnce(progress, open.size, now)
         candidates.forEach { (machine, worker) ->
-            if (room > 0 && poolAllows(worker)) {
+            val atOnce = if (worker.runs.isEmpty()) progress.wave.maxAtOnce else busyAtOnce
+            if (down.size + progress.emptyingSinceMillis.size < atOnce && poolAllows(worker)) {
                 worker.reservations += progress.reservation
                 progress.emptyingSinceMillis[machine.machineId] = now
-                room--
             }
         }
     }
@@ -183,6 +184,11 @@
     }
 
     private companion object {
+        val order: Comparator<Pair<Machine, WorkerEntry>> =
+            compareBy<Pair<Machine, WorkerEntry>> { (_, worker) ->
+                worker.runs.values.count { it.specification.isLasting }
+            }.thenBy { (_, worker) -> worker.runs.size }
+
         // One in three may be away for planned work.
         const val POOL_SHARE = 3
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerNews.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerNews.kt
@@ -42,8 +42,9 @@
         heardAtMillis = clock.monotonicMillis()
     }
 
-    /** Whether the owner of [epoch] was heard before and has been silent since. */
-    fun isSilent(epoch: Long): Boolean = heardEpoch == epoch && clock.monotonicMillis() - heardAtMillis > SILENT_MILLIS
+    /** When the last beat of the owner of [epoch] came, if it was heard before and has been silent since. */
+    fun stoppedAtMillis(epoch: Long): Long? =
+        heardAtMillis.takeIf { heardEpoch == epoch && clock.monotonicMillis() - it > SILENT_MILLIS }
 
     /** Tells that this entry is the owner of [epoch], until cancelled. */
     suspend fun beat(epoch: Long) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -78,8 +78,8 @@
 
     private fun isVacant(): Boolean {
         val seen = catalogue.owner
-        val isSilent = seen?.record?.let { news?.isSilent(it.epoch) } ?: false
-        val sighting = OwnerSighting(seen, catalogue.contactSinceMillis, catalogue.silenceMillis(), isSilent)
+        val stoppedAtMillis = seen?.record?.let { news?.stoppedAtMillis(it.epoch) }
+        val sighting = OwnerSighting(seen, catalogue.contactSinceMillis, catalogue.silenceMillis(), stoppedAtMillis)
         return vacancy.isVacant(sighting, rank(), clock.monotonicMillis())
     }
 
@@ -97,7 +97,7 @@
             )
         if (outcome !is TransactionOutcome.Applied) {
             log.write(Event.OWNERSHIP_NOT_TAKEN, "epoch ${record.epoch}: $outcome")
-            delay(WATCH_MILLIS)
+            delay(settings.renewMillis)
             return
         }
         log.write(Event.OWNERSHIP_TAKEN, "epoch ${record.epoch}, after '${seen.record?.entryId}'")
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Vacancy.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Vacancy.kt
@@ -8,13 +8,13 @@
  * @property seen the owner's row; null before it was read.
  * @property contactSinceMillis since when the store has answered without a gap; null while it does not.
  * @property storeSilenceMillis time since the store last answered.
- * @property isOwnerSilent whether the owner's beats have stopped coming.
+ * @property beatsStoppedAtMillis when the owner's last beat came, if they have stopped coming; null otherwise.
  */
 internal data class OwnerSighting(
     val seen: SeenOwner?,
     val contactSinceMillis: Long?,
     val storeSilenceMillis: Long,
-    val isOwnerSilent: Boolean,
+    val beatsStoppedAtMillis: Long?,
 )
 
 /**
@@ -40,13 +40,22 @@
             ownerId.isEmpty() -> quietMillis >= 0
             // The row is of an earlier process of this entry, which has ended.
             ownerId == entryId -> true
-            sighting.isOwnerSilent -> quietMillis >= SUSPECT_MILLIS
+            isSuspect(sighting, seen) -> quietMillis >= SUSPECT_MILLIS
             // After an outage the owner gets the time of two renewals to be heard again.
             contactMillis < 2 * settings.renewMillis -> false
             else -> quietMillis > settings.leaseMillis + settings.takeoverMarginMillis
         }
     }
 
+    // An owner that goes on renewing its row after its beats have stopped is only cut off from this entry.
+    private fun isSuspect(
+        sighting: OwnerSighting,
+        seen: SeenOwner,
+    ): Boolean {
+        val stoppedAtMillis = sighting.beatsStoppedAtMillis ?: return false
+        return seen.seenAtMillis - stoppedAtMillis < 2 * settings.renewMillis
+    }
+
     private companion object {
         const val RANK_STEP_MILLIS = 100L
         const val FRESH_MILLIS = 1_700L
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveStepsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveStepsTest.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.fleet
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.engine.JobEngine
@@ -32,7 +33,20 @@
     maxAtOnce: Int,
 ) = WaveProgress(MaintenanceWave(1, (1..machines).map { "m$it" }, 20_000, maxAtOnce), WaveRecord(), 0)
 
-private fun steps(engine: JobEngine) = WaveSteps(engine.state, LastingGuard(engine.state))
+private fun steps(
+    engine: JobEngine,
+    pace: WavePace = FullPace(),
+) = WaveSteps(engine.state, LastingGuard(engine.state), pace)
+
+// One task of two cores on each worker, which has four.
+private fun busyOn(vararg workerIds: String): JobEngine {
+    val engine = readyEngine(*workerIds)
+    engine.accept(JOB, job(step(workerIds.size, cpuMillis = 2_500)), now = 0)
+    engine.decide(0, 0).starts().forEach {
+        engine.started(it.address.workerId, it.order, OrderOutcome.Done(1_000), now = 5)
+    }
+    return engine
+}
 
 private fun lastingOn(vararg workerIds: String): JobEngine {
     val engine = readyEngine(*workerIds)
@@ -57,6 +71,13 @@
     engine.listed(workerId, listing(running = listOf(run)), now - 10, now)
 }
 
+private data class PaceCase(
+    val name: String,
+    val open: Int,
+    val elapsedMillis: Long,
+    val atOnce: Int,
+)
+
 class WaveStepsTest :
     FunSpec({
         test("no more machines go down than the wave allows, those of an earlier owner counted") {
@@ -133,6 +154,38 @@
             steps(engine).next(progress, machines, 20, 30).order.map { it.machineId } shouldBe listOf("m1")
         }
 
+        context("machines that serve and are taken out of service at once") {
+            withData(
+                nameFn = { it.name },
+                PaceCase("as few as end in time", open = 6, elapsedMillis = 0, atOnce = 3),
+                PaceCase("more when time runs out", open = 6, elapsedMillis = 7_000, atOnce = 6),
+                PaceCase("all that are allowed when the time has passed", open = 2, elapsedMillis = 40_000, atOnce = 6),
+                PaceCase("one at least", open = 0, elapsedMillis = 0, atOnce = 1),
+                PaceCase("no more than the wave allows", open = 30, elapsedMillis = 0, atOnce = 6),
+            ) { case ->
+                EvenPace().atOnce(progress(6, maxAtOnce = 6), case.open, case.elapsedMillis) shouldBe case.atOnce
+            }
+        }
+
+        test("a wave that has time leaves most machines that serve in service, unlike one at full pace") {
+            val workerIds = (1..18).map { "w$it" }.toTypedArray()
+            val machines = (1..18).map { machine(it) }
+            listOf(EvenPace() to 3, FullPace() to 6).forEach { (pace, expected) ->
+                val engine = busyOn(*workerIds)
+                steps(engine, pace).next(progress(6, maxAtOnce = 6), machines, SETTLED, SETTLED)
+                engine.state.workers.values
+                    .count { it.isReserved } shouldBe expected
+            }
+        }
+
+        test("idle machines go first and as many at once as the wave allows") {
+            val workerIds = (1..18).map { "w$it" }.toTypedArray()
+            val engine = readyEngine(*workerIds)
+            val machines = (1..18).map { machine(it) }
+            val step = steps(engine, EvenPace()).next(progress(6, maxAtOnce = 6), machines, SETTLED, SETTLED)
+            step.order.size shouldBe 6
+        }
+
         test("a wave is finished when every machine that stays has begun") {
             val engine = readyEngine("w1", "w2", "w3")
             val progress = progress(3, maxAtOnce = 3)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VacancyTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VacancyTest.kt
@@ -14,7 +14,7 @@
     val rank: Int = 0,
     val contactMillis: Long? = 60_000,
     val storeSilenceMillis: Long = 0,
-    val isOwnerSilent: Boolean = false,
+    val beatsStoppedMillis: Long? = null,
 )
 
 class VacancyTest :
@@ -32,8 +32,16 @@
                 VacancyCase("the store does not answer", "other", 5_000, false, contactMillis = null),
                 VacancyCase("the feed is silent", "other", 5_000, false, storeSilenceMillis = 1_800),
                 VacancyCase("an earlier process of this entry held it", "self", 0, true),
-                VacancyCase("the beats have stopped", "other", 800, true, isOwnerSilent = true),
-                VacancyCase("the beats have stopped, the row still changes", "other", 300, false, isOwnerSilent = true),
+                VacancyCase("the beats have stopped", "other", 800, true, beatsStoppedMillis = 1_000),
+                VacancyCase(
+                    "the beats have stopped, the row still changes",
+                    "other",
+                    300,
+                    false,
+                    beatsStoppedMillis = 1_000,
+                ),
+                VacancyCase("the beats stopped long before the row", "other", 900, false, beatsStoppedMillis = 5_000),
+                VacancyCase("the beats stopped, later the row", "other", 1_950, true, beatsStoppedMillis = 5_000),
             ) { case ->
                 val now = 100_000L
                 val record = case.ownerId?.let { OwnerRecord(it, epoch = 3, sequence = 9) }
@@ -42,7 +50,7 @@
                         seen = SeenOwner(record, 5, now - case.quietMillis),
                         contactSinceMillis = case.contactMillis?.let { now - it },
                         storeSilenceMillis = case.storeSilenceMillis,
-                        isOwnerSilent = case.isOwnerSilent,
+                        beatsStoppedAtMillis = case.beatsStoppedMillis?.let { now - it },
                     )
                 Vacancy("self", OwnerSettings()).isVacant(sighting, case.rank, now) shouldBe case.isVacant
             }
