Move the wiring of the job parts out of the platform folder

Cause: the parts that run jobs were put together in platform/, so that nothing but the platform could use them. Ruled out: a second wiring beside it. Change: JobService puts catalogue, calls and ownership together and registers their gauges; the list of workers becomes a port. No change of behaviour.

--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobService.kt
@@ -0,0 +1,130 @@
+package org.verbenagauge.entry.jobs
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.fleet.WavePorts
+import org.verbenagauge.entry.jobs.front.JobCalls
+import org.verbenagauge.entry.jobs.front.JobFront
+import org.verbenagauge.entry.jobs.front.StateCatalogue
+import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.owner.OwnerNews
+import org.verbenagauge.entry.jobs.owner.OwnerPorts
+import org.verbenagauge.entry.jobs.owner.OwnerSettings
+import org.verbenagauge.entry.jobs.owner.Ownership
+import org.verbenagauge.entry.jobs.ports.PlacementAdvisor
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.WorkerGateway
+import org.verbenagauge.entry.jobs.ports.WorkerList
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.peers.PeerNetwork
+
+/**
+ * Outside systems that an entry which runs jobs talks to.
+ *
+ * @property store rows that all entries share.
+ * @property workers orders to workers.
+ * @property workerList list of workers.
+ * @property advisor advice on placement, or null when there is none.
+ */
+public class JobPorts(
+    public val store: RowStore,
+    public val workers: WorkerGateway,
+    public val workerList: WorkerList,
+    public val advisor: PlacementAdvisor? = null,
+)
+
+/** Takes jobs of callers and, while this entry is the owner, runs them. Used from one coroutine dispatcher of one thread. */
+public class JobService internal constructor(
+    entryId: String,
+    ports: JobPorts,
+    waves: WavePorts?,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val metrics: JobMetrics,
+    limits: () -> EngineLimits,
+) {
+    private val catalogue = StateCatalogue(ports.store, clock)
+    private val ownership =
+        Ownership(
+            entryId = entryId,
+            ports = OwnerPorts(ports.store, ports.workers, ports.advisor, ports.workerList, waves),
+            catalogue = catalogue,
+            clock = clock,
+            settings = OwnerSettings(),
+            limits = limits,
+            log = log,
+            rank = { (entryId.hashCode() and Int.MAX_VALUE) % RANKS },
+        )
+
+    /** Calls of callers. */
+    public val calls: JobCalls = JobCalls(JobFront(ports.store, catalogue, clock), clock, log, metrics)
+
+    /** Whether this entry decides on placement now. */
+    public val isOwner: Boolean get() = ownership.isOwner
+
+    /** Time since the store last answered this entry. */
+    public val storeSilenceMillis: Long get() = catalogue.silenceMillis()
+
+    /** Runs the parts in [scope] until it is cancelled. */
+    public fun start(scope: CoroutineScope) {
+        scope.launch { catalogue.run() }
+        scope.launch { ownership.run() }
+        registerGauges()
+    }
+
+    /** Gives the duty of the owner up and takes none any more. */
+    public fun stop() {
+        ownership.stop()
+    }
+
+    /** Takes in a newer configuration; an older one changes nothing. */
+    public fun configure(newer: JobsConfiguration) {
+        val old = calls.configuration?.version
+        if (old != null && newer.version <= old) return
+        calls.configure(newer)
+        ownership.configure(newer)
+        log.write(Event.CONFIGURATION_IN_FORCE, "version ${newer.version} after $old, ${newer.queues.size} queues")
+    }
+
+    /** Uses [network] for direct news between entries; messages are taken in by [scope]. */
+    internal fun connect(
+        network: PeerNetwork,
+        scope: CoroutineScope,
+    ) {
+        val news = OwnerNews(network, clock) { it.forEach(catalogue::learn) }
+        network.subscribe { from, message -> scope.launch { news.received(from, message) } }
+        ownership.news = news
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("verbenagauge_owner", "1 while this entry decides on placement") { if (isOwner) 1.0 else 0.0 }
+        metrics.gauge("verbenagauge_configuration_version", "Version of the configuration in force here") {
+            calls.configuration?.version?.toDouble() ?: 0.0
+        }
+        metrics.gauge("verbenagauge_store_silence_seconds", "Time since the store last answered this entry") {
+            catalogue.silenceMillis() / MILLIS_PER_SECOND
+        }
+        metrics.gauge("verbenagauge_pending_jobs", "Accepted jobs without a started task, as the owner last told") {
+            val pendingByQueue = catalogue.owner?.record?.pendingByQueue
+            pendingByQueue?.values?.sum()?.toDouble() ?: 0.0
+        }
+    }
+
+    private companion object {
+        // Entries that wait for the duty rarely share a rank.
+        const val RANKS = 8
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
+}
+
+/** Creates the service of the entry [entryId] for a deployment without machines to manage. */
+public fun jobService(
+    entryId: String,
+    ports: JobPorts,
+    clock: Clock,
+    log: EventLog,
+    metrics: JobMetrics,
+): JobService = JobService(entryId, ports, waves = null, clock, log, metrics) { EngineLimits() }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 import org.verbenagauge.entry.jobs.ports.ListingOutcome
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.Renewal
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBook.kt
@@ -2,32 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.TaskId
-import org.verbenagauge.entry.jobs.ports.WorkerAddress
-
-/**
- * What the platform's list says of a worker.
- *
- * @property address address of this life.
- * @property serviceName pool.
- * @property zoneId availability zone.
- * @property rack rack; empty when not told.
- * @property labels labels, the rack among them.
- * @property capacity what it has.
- * @property isReady whether it takes work.
- * @property bornUnixMillis start of this life; 0 when not told.
- * @property machineId machine on which it runs; empty when not told.
- */
-public data class ListedWorker(
-    val address: WorkerAddress,
-    val serviceName: String,
-    val zoneId: String,
-    val rack: String,
-    val labels: Set<String>,
-    val capacity: Amount,
-    val isReady: Boolean,
-    val bornUnixMillis: Long,
-    val machineId: String,
-)
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 
 /** One worker as the deciding entry sees it. */
 internal class WorkerEntry(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -19,6 +19,7 @@
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.ports.WorkerGateway
+import org.verbenagauge.entry.jobs.ports.WorkerList
 import org.verbenagauge.entry.logging.EventLog
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerFollower.kt
@@ -2,16 +2,8 @@
 
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.JobEngine
-import org.verbenagauge.entry.jobs.engine.ListedWorker
-
-/** The platform's list of workers. */
-internal interface WorkerList {
-    /** Tells [onAll] the whole list first and after gaps, and [onChange] each worker that changed; until cancelled. */
-    suspend fun follow(
-        onAll: (List<ListedWorker>) -> Unit,
-        onChange: (workerId: String, worker: ListedWorker?) -> Unit,
-    )
-}
+import org.verbenagauge.entry.jobs.ports.ListedWorker
+import org.verbenagauge.entry.jobs.ports.WorkerList
 
 /** Brings the platform's list of workers to the engine. */
 internal class WorkerFollower(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -5,7 +5,6 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.doubleOrNull
-import org.verbenagauge.entry.jobs.engine.ListedWorker
 import org.verbenagauge.entry.jobs.model.AdviceConfiguration
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobSpecification
@@ -14,6 +13,7 @@
 import org.verbenagauge.entry.jobs.model.ServiceConfiguration
 import org.verbenagauge.entry.jobs.model.StepSpecification
 import org.verbenagauge.entry.jobs.model.TeamConfiguration
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.model.sha256Hex
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -21,17 +21,12 @@
 import org.apache.logging.log4j.LogManager
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.jobs.JobMetrics
+import org.verbenagauge.entry.jobs.JobPorts
+import org.verbenagauge.entry.jobs.JobService
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.fleet.WavePorts
-import org.verbenagauge.entry.jobs.front.JobCalls
-import org.verbenagauge.entry.jobs.front.JobFront
-import org.verbenagauge.entry.jobs.front.StateCatalogue
-import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.MaintenanceWave
-import org.verbenagauge.entry.jobs.owner.OwnerNews
-import org.verbenagauge.entry.jobs.owner.OwnerPorts
 import org.verbenagauge.entry.jobs.owner.OwnerSettings
-import org.verbenagauge.entry.jobs.owner.Ownership
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.operator.metricsRoutes
@@ -70,28 +65,24 @@
     private val peerAddress = parseHostPort(settings.listeners.peers)
     private val directory =
         peerAddress?.let { EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id)) }
-    private val catalogue = StateCatalogue(store, clock)
-    private val calls = JobCalls(JobFront(store, catalogue, clock), clock, log, metrics)
-    private val ownership =
-        Ownership(
+    private val jobs =
+        JobService(
             entryId = settings.entry.id,
             ports =
-                OwnerPorts(
+                JobPorts(
                     store = store,
                     workers = PlatformWorkers(selector, clock, metrics),
-                    advisor = parseHostPort(settings.platform.advisor)?.let { PlatformAdvisor(selector, it, clock) },
                     workerList = PlatformWorkerList(store, log),
-                    waves = parseHostPort(settings.platform.machines)?.let(::wavePorts),
+                    advisor = parseHostPort(settings.platform.advisor)?.let { PlatformAdvisor(selector, it, clock) },
                 ),
-            catalogue = catalogue,
+            waves = parseHostPort(settings.platform.machines)?.let(::wavePorts),
             clock = clock,
-            settings = OwnerSettings(),
-            limits = { engineLimits(limits) },
             log = log,
-            rank = { (settings.entry.id.hashCode() and Int.MAX_VALUE) % RANKS },
+            metrics = metrics,
+            limits = { engineLimits(limits) },
         )
-    private val documents = OperatorDocuments(store, log, ::configure, ::wave)
-    private val callerServer = server(settings.listeners.caller) { clientRoutes(calls, dispatcher) }
+    private val documents = OperatorDocuments(store, log, jobs::configure, ::wave)
+    private val callerServer = server(settings.listeners.caller) { clientRoutes(jobs.calls, dispatcher) }
     private val metricsServer =
         settings.listeners.metrics.ifEmpty { null }?.let {
             server(
@@ -106,14 +97,12 @@
     public fun start() {
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false")
         scope.launch { documents.run() }
-        scope.launch { catalogue.run() }
-        scope.launch { ownership.run() }
+        jobs.start(scope)
         directory?.let { scope.launch { connectPeers(it) } }
         callerServer.start(wait = false)
         readinessServer.start(wait = false)
         metricsServer?.start(wait = false)
         settingsFile?.let(::watch)
-        gauges()
         log.write(
             Event.ENTRY_STARTED,
             "zone ${settings.entry.zoneId}, caller ${settings.listeners.caller}, store ${settings.platform.store}",
@@ -123,9 +112,9 @@
     /** Gives duties up, finishes what was taken in, and ends. */
     public fun stop() {
         isStopping = true
-        log.write(Event.ENTRY_STOPPING, "owner ${ownership.isOwner}")
+        log.write(Event.ENTRY_STOPPING, "owner ${jobs.isOwner}")
         runBlocking {
-            withContext(dispatcher) { ownership.stop() }
+            withContext(dispatcher) { jobs.stop() }
             delay(STOP_LINGER_MILLIS)
         }
         callerServer.stop(GRACE_MILLIS, TIMEOUT_MILLIS)
@@ -152,26 +141,6 @@
         scope.launch { watch.run() }
     }
 
-    private fun gauges() {
-        metrics.gauge("verbenagauge_owner", "1 while this entry decides on placement") {
-            if (ownership.isOwner) 1.0 else 0.0
-        }
-        metrics.gauge("verbenagauge_configuration_version", "Version of the configuration in force here") {
-            calls.configuration?.version?.toDouble() ?: 0.0
-        }
-        metrics.gauge("verbenagauge_store_silence_seconds", "Time since the store last answered this entry") {
-            catalogue.silenceMillis() / MILLIS_PER_SECOND
-        }
-        metrics.gauge("verbenagauge_pending_jobs", "Accepted jobs without a started task, as the owner last told") {
-            catalogue.owner
-                ?.record
-                ?.pendingByQueue
-                ?.values
-                ?.sum()
-                ?.toDouble() ?: 0.0
-        }
-    }
-
     private suspend fun connectPeers(directory: EntryDirectory) {
         val address = checkNotNull(peerAddress) { "listeners.peers is not set" }
         scope.launch { directory.run() }
@@ -180,20 +149,10 @@
         val relay = StoreRelay(network, scope, link::direct)
         relay.start()
         link.relay = relay
-        val news = OwnerNews(network, clock) { it.forEach(catalogue::learn) }
-        network.subscribe { from, message -> scope.launch { news.received(from, message) } }
-        ownership.news = news
+        jobs.connect(network, scope)
         network.run()
     }
 
-    private fun configure(newer: JobsConfiguration) {
-        val old = calls.configuration?.version
-        if (old != null && newer.version <= old) return
-        calls.configure(newer)
-        ownership.configure(newer)
-        log.write(Event.CONFIGURATION_IN_FORCE, "version ${newer.version} after $old, ${newer.queues.size} queues")
-    }
-
     private fun wave(
         key: String,
         value: ByteArray?,
@@ -219,7 +178,7 @@
 
     // Without the store nothing can be taken in; another entry may still reach it.
     private fun isReady(): Boolean =
-        !isStopping && calls.configuration != null && catalogue.silenceMillis() < READY_SILENCE_MILLIS
+        !isStopping && jobs.calls.configuration != null && jobs.storeSilenceMillis < READY_SILENCE_MILLIS
 
     private fun server(
         listen: String,
@@ -232,9 +191,6 @@
     private fun address(text: String): HostPort = checkNotNull(parseHostPort(text)) { "'$text' is not host:port" }
 
     private companion object {
-        const val RANKS = 8
-        const val MILLIS_PER_SECOND = 1_000.0
-
         // The balancer asks once a second and turns away after two misses.
         const val STOP_LINGER_MILLIS = 2_200L
         const val GRACE_MILLIS = 200L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
@@ -1,13 +1,13 @@
 package org.verbenagauge.platform
 
-import org.verbenagauge.entry.jobs.engine.ListedWorker
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.owner.TableFollower
-import org.verbenagauge.entry.jobs.owner.WorkerList
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.StoredRow
+import org.verbenagauge.entry.jobs.ports.WorkerList
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -11,6 +11,7 @@
 import org.verbenagauge.entry.jobs.ports.EndKind
 import org.verbenagauge.entry.jobs.ports.ListedEnd
 import org.verbenagauge.entry.jobs.ports.ListedRun
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 import org.verbenagauge.entry.jobs.ports.ListingOutcome
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.ports.WorkerListing
