Take jobs over the product's own interface, on the embedded default and from the command line

Ruled out: stand-ins as processes of their own for this demo: store and workers are ports of the product, and the stand-ins implement these ports in the entry's process.

--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
@@ -10,7 +10,16 @@
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val groups =
-        listOf(configCommands(), teamCommands(), keyCommands(), poolCommands(), waveCommands(), accountCommands())
+        listOf(
+            configCommands(),
+            teamCommands(),
+            keyCommands(),
+            poolCommands(),
+            waveCommands(),
+            accountCommands(),
+            jobCommands(),
+            queueCommands(),
+        )
     // The parser of a group would answer with the help of the group.
     if (args.size > 2 && args.last() in helpFlags) groups.firstOrNull { it.name == args[0] }?.printHelpOf(args[1])
     val parser = ArgParser("verbenagauge")
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/Main.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/Main.kt
@@ -2,11 +2,12 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import org.verbenagauge.standin.jobs.JobsCommand
 
 /** Entry point of the stand-ins. */
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val parser = ArgParser("verbenagauge-standin")
-    parser.subcommands(PlatformCommand(), EndpointsCommand(), SeedCommand(), CallersCommand())
+    parser.subcommands(PlatformCommand(), EndpointsCommand(), SeedCommand(), CallersCommand(), JobsCommand())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
@@ -70,6 +70,19 @@
         return Admittance.Admitted(queue, team, jobId)
     }
 
+    /** Checks queue and key of a call about [jobId] that names its queue. */
+    public fun admit(
+        queueName: String,
+        jobId: String,
+        key: String?,
+    ): Admittance {
+        val current = configuration ?: return Admittance.NotReady
+        val queue = current.queue(queueName) ?: return Admittance.NoQueue
+        if (queue.isOpen) return Admittance.Admitted(queue, "", jobId)
+        val team = key?.let(current::teamOf) ?: return Admittance.KeyUnknown
+        return Admittance.Admitted(queue, team, jobId)
+    }
+
     /** Hands a job in. */
     public suspend fun submit(
         admitted: Admittance.Admitted,
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobRoutes.kt
@@ -0,0 +1,216 @@
+package org.verbenagauge.entry.jobs.front
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.put
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.withContext
+import kotlinx.io.readByteArray
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.verbenagauge.entry.Reason
+import org.verbenagauge.entry.caller.CallerHeaders
+import org.verbenagauge.entry.jobs.model.JobSpecification
+import org.verbenagauge.entry.jobs.model.specificationProblem
+import java.util.UUID
+
+private const val DEFAULT_WAIT_MILLIS = 3_000L
+private const val DEFAULT_BODY_BYTES = 262_144L
+private const val MILLIS_PER_SECOND = 1_000L
+private const val BEARER = "Bearer "
+
+// The dot separates the parts of a task's name.
+private val jobIdPattern = Regex("[A-Za-z0-9_-]{1,64}")
+private val jobJson = Json { ignoreUnknownKeys = false }
+
+/**
+ * Answer to a call about a job.
+ *
+ * @property state state of the job, in lower case; null when none is told.
+ * @property pending accepted jobs of the queue of which no task has started; null for calls about one job.
+ * @property detail what is wrong and what to write, or null.
+ */
+@Serializable
+public data class JobCallAnswer(
+    val state: String? = null,
+    val pending: Int? = null,
+    val detail: String? = null,
+)
+
+/** Installs the product's own interface for jobs; every answer carries a verdict, a reason and a request id. */
+public fun Application.jobRoutes(
+    calls: JobCalls,
+    dispatcher: CoroutineDispatcher,
+) {
+    val handler = JobCallHandler(calls)
+    routing {
+        route("/v1/jobs/{queue}") {
+            get { call.answer(dispatcher, handler::pending) }
+            route("{id}") { jobMethods(handler, dispatcher) }
+        }
+    }
+}
+
+private fun Route.jobMethods(
+    handler: JobCallHandler,
+    dispatcher: CoroutineDispatcher,
+) {
+    put {
+        val body = call.receiveChannel().readRemaining(handler.mostBytes() + 1).readByteArray()
+        call.answer(dispatcher) { handler.submit(it, body) }
+    }
+    get { call.answer(dispatcher, handler::lookup) }
+    delete { call.answer(dispatcher, handler::cancel) }
+}
+
+/** A call about a job, as read from its request. */
+internal class JobCall(
+    val queueName: String,
+    val jobId: String,
+    val key: String?,
+    val waitMillis: Long,
+)
+
+/** What a call is answered with. */
+internal class JobReply(
+    val reason: Reason,
+    val answer: JobCallAnswer = JobCallAnswer(),
+    val retryAfterMillis: Long? = null,
+)
+
+private suspend fun ApplicationCall.answer(
+    dispatcher: CoroutineDispatcher,
+    handle: suspend (JobCall) -> JobReply,
+) {
+    val rawWait = request.header(CallerHeaders.DEADLINE_MILLIS)
+    val waitMillis = if (rawWait == null) DEFAULT_WAIT_MILLIS else rawWait.toLongOrNull()?.takeIf { it > 0 }
+    val reply =
+        if (waitMillis == null) {
+            JobReply(Reason.DEADLINE_MALFORMED)
+        } else {
+            val key = request.header(HttpHeaders.Authorization)?.removePrefix(BEARER)
+            val call = JobCall(parameters["queue"].orEmpty(), parameters["id"].orEmpty(), key, waitMillis)
+            withContext(dispatcher) { handle(call) }
+        }
+    respond(reply)
+}
+
+private suspend fun ApplicationCall.respond(reply: JobReply) {
+    response.header(CallerHeaders.VERDICT, reply.reason.verdict.headerValue)
+    response.header(CallerHeaders.REASON, reply.reason.code)
+    response.header(CallerHeaders.REQUEST_ID, UUID.randomUUID().toString())
+    reply.retryAfterMillis?.let { response.header(HttpHeaders.RetryAfter, secondsUp(it)) }
+    val isFine = reply.reason.httpStatus == HttpStatusCode.OK.value
+    val answer = if (isFine || reply.answer.detail != null) reply.answer else JobCallAnswer(detail = reply.reason.text)
+    val text = jobJson.encodeToString(JobCallAnswer.serializer(), answer)
+    respondText(text, ContentType.Application.Json, HttpStatusCode.fromValue(reply.reason.httpStatus))
+}
+
+private fun secondsUp(millis: Long): Long = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
+
+/** Carries out calls of the own interface. */
+internal class JobCallHandler(
+    private val calls: JobCalls,
+) {
+    /** Largest body that is read. */
+    fun mostBytes(): Long = calls.configuration?.maxBodyBytes ?: DEFAULT_BODY_BYTES
+
+    /** Tells how many jobs of the queue wait. */
+    suspend fun pending(call: JobCall): JobReply =
+        admitted(call) { JobReply(Reason.JOB_TOLD, JobCallAnswer(pending = calls.pending(it))) }
+
+    /** Hands in the job that [body] holds. */
+    suspend fun submit(
+        call: JobCall,
+        body: ByteArray,
+    ): JobReply =
+        admittedJob(call) { admitted ->
+            if (body.size > mostBytes()) return@admittedJob JobReply(Reason.BODY_TOO_LARGE)
+            when (val read = read(body)) {
+                is ReadSpecification.Problem -> JobReply(Reason.JOB_MALFORMED, JobCallAnswer(detail = read.text))
+                is ReadSpecification.Valid -> submitted(calls.submit(admitted, read.specification, call.waitMillis))
+            }
+        }
+
+    /** Tells the state of a job. */
+    suspend fun lookup(call: JobCall): JobReply =
+        admittedJob(call) { admitted ->
+            when (val outcome = calls.lookup(admitted, call.waitMillis)) {
+                is JobLookup.Found -> JobReply(Reason.JOB_TOLD, JobCallAnswer(outcome.state.name.lowercase()))
+                is JobLookup.Unknown -> JobReply(Reason.JOB_UNKNOWN)
+                is JobLookup.Unavailable -> JobReply(Reason.STORE_SILENT, retryAfterMillis = MILLIS_PER_SECOND)
+            }
+        }
+
+    /** Cancels a job. */
+    suspend fun cancel(call: JobCall): JobReply =
+        admittedJob(call) { admitted ->
+            when (calls.cancel(admitted, call.waitMillis)) {
+                is CancelOutcome.Cancelled -> JobReply(Reason.JOB_CANCELLED)
+                is CancelOutcome.Unknown -> JobReply(Reason.JOB_UNKNOWN)
+                is CancelOutcome.Unsettled -> JobReply(Reason.JOB_MAY_BE_STORED)
+            }
+        }
+
+    private fun submitted(outcome: SubmitOutcome): JobReply =
+        when (outcome) {
+            is SubmitOutcome.Accepted -> JobReply(Reason.JOB_ACCEPTED)
+            is SubmitOutcome.Refused ->
+                JobReply(Reason.JOB_NOT_STORED, retryAfterMillis = outcome.retryAfterMillis)
+            is SubmitOutcome.Unsettled -> JobReply(Reason.JOB_MAY_BE_STORED)
+        }
+
+    private suspend fun admittedJob(
+        call: JobCall,
+        handle: suspend (Admittance.Admitted) -> JobReply,
+    ): JobReply = if (jobIdPattern.matches(call.jobId)) admitted(call, handle) else JobReply(Reason.JOB_ID_MALFORMED)
+
+    private suspend fun admitted(
+        call: JobCall,
+        handle: suspend (Admittance.Admitted) -> JobReply,
+    ): JobReply =
+        when (val admittance = calls.admit(call.queueName, call.jobId, call.key)) {
+            is Admittance.NotReady -> JobReply(Reason.ENTRY_STALE, retryAfterMillis = MILLIS_PER_SECOND)
+            is Admittance.NoQueue -> JobReply(Reason.UNKNOWN_QUEUE)
+            is Admittance.KeyUnknown -> JobReply(if (call.key == null) Reason.KEY_MISSING else Reason.KEY_UNKNOWN)
+            is Admittance.Admitted -> handle(admittance)
+        }
+
+    private sealed interface ReadSpecification {
+        class Valid(
+            val specification: JobSpecification,
+        ) : ReadSpecification
+
+        class Problem(
+            val text: String,
+        ) : ReadSpecification
+    }
+
+    private fun read(body: ByteArray): ReadSpecification =
+        try {
+            val specification = jobJson.decodeFromString(JobSpecification.serializer(), body.decodeToString())
+            val problem = specificationProblem(specification)
+            if (problem == null) ReadSpecification.Valid(specification) else ReadSpecification.Problem(problem)
+        } catch (e: SerializationException) {
+            ReadSpecification.Problem(
+                e.message
+                    .orEmpty()
+                    .lineSequence()
+                    .first(),
+            )
+        }
+}
