Let pools grow at once after a takeover; recognise a dead owner at the start of a process

The entries were up at 36.9 s, the duty was taken at 37.4 s by the slowest of them, since the others had to see the row unchanged for 1.9 s first; workers had answered by 37.8 s but for one, and until that one did, at 38.4 s, no machine was moved to the queue whose turn it was; the machines served from 40.0 s.

Change: only pools with a worker that has not answered give no machine away; such workers count as there. The owner's row tells when it was written: a process that finds it older than 2.5 s at its start need not watch it first.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -35,12 +35,11 @@
         now: Long,
     ): List<PoolMove> {
         val configuration = state.configuration ?: return emptyList()
-        // Pools look empty while their workers have not answered.
-        if (state.workers.values.any { !it.isHeard } &&
-            now - state.startedAtMillis < SETTLING_MILLIS
-        ) {
-            return emptyList()
-        }
+        // What such pools run is not known, so that they give nothing away.
+        val unsettled =
+            state.workers.values
+                .filter { isAwaited(it, now) }
+                .mapTo(HashSet()) { it.listed.serviceName }
         val standby =
             configuration.services.values
                 .filter { it.isStandby }
@@ -51,7 +50,9 @@
         val rooms = served.map { pool -> room(pool, machines, underway, now) }
         val moves = ArrayList<PoolMove>()
         val supply = ArrayDeque(free.filter { it.poolName in standby })
-        rooms.filter { it.surplus > 0 }.forEach { room -> supply.addAll(idle(room, free).take(room.surplus)) }
+        rooms.filter { it.surplus > 0 && it.poolName !in unsettled }.forEach { room ->
+            supply.addAll(idle(room, free).take(room.surplus))
+        }
         rooms.filter { it.surplus < 0 }.sortedBy { it.surplus.toDouble() / it.wantedMachines }.forEach { room ->
             repeat(-room.surplus) {
                 val machine = supply.firstOrNull { it.kind to room.poolName !in barred } ?: return@repeat
@@ -83,12 +84,18 @@
         val used = workers.fold(Amount()) { sum, worker -> sum + (worker.listed.capacity - worker.free) }
         val demand = PoolDemand(pool, used, state.wantedByService[pool] ?: Amount(), capacity)
         val wanted = sizer.size(demand, now)
-        val serving = workers.count { it.takesWork && it.avoidUntilMillis <= now }
+        val serving = workers.count { isAwaited(it, now) || it.takesWork && it.avoidUntilMillis <= now }
         val returning = machines.count { it.poolName == pool && !it.isUp && !it.isLost }
         val coming = underway.count { it.poolName == pool && it.machine.poolName != pool && !isSeen(it, machines) }
         return PoolRoom(pool, wanted, serving + returning + coming - wanted)
     }
 
+    // Workers answer within moments after a takeover or after they were listed, or do not for now.
+    private fun isAwaited(
+        worker: WorkerEntry,
+        now: Long,
+    ) = !worker.isHeard && now - worker.seenAtMillis < SETTLING_MILLIS
+
     // Counted by the list from then on.
     private fun isSeen(
         move: PoolMove,
@@ -112,7 +119,7 @@
     private fun isIdle(worker: WorkerEntry) = worker.takesWork && worker.runs.isEmpty()
 
     private companion object {
-        // After a takeover workers answer within moments, or do not for now.
+        // Longer than two calls to a worker take.
         const val SETTLING_MILLIS = 2_000L
 
         // Orders of one tick; the platform takes some dozens a second from all.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
@@ -17,11 +17,13 @@
  * @property record content; null when there is no row.
  * @property version version of the row; 0 when there is none.
  * @property seenAtMillis when this version was seen first.
+ * @property ageAtStartMillis age of the row by the time of day, if it is the first that this process has read.
  */
 public data class SeenOwner(
     val record: OwnerRecord?,
     val version: Long,
     val seenAtMillis: Long,
+    val ageAtStartMillis: Long? = null,
 )
 
 /** States of jobs and the row of the owner, as one entry follows them in the store. */
@@ -91,9 +93,13 @@
     private fun takeOwner(row: StoredRow) {
         if (row.version <= (owner?.version ?: -1)) return
         val record = row.value?.let { RecordCodec.decode(OwnerRecord.serializer(), it) }
-        owner = SeenOwner(record, row.version, clock.monotonicMillis())
+        val ageMillis = if (owner == null) ageMillis(record) else null
+        owner = SeenOwner(record, row.version, clock.monotonicMillis(), ageMillis)
     }
 
+    private fun ageMillis(record: OwnerRecord?): Long? =
+        record?.writtenUnixMillis?.takeIf { it > 0 }?.let { clock.wallMillis() - it }
+
     private fun takeState(row: StoredRow) {
         val jobId = StoredTables.jobOf(row.key) ?: return
         val record = row.value?.let { RecordCodec.decode(StateRecord.serializer(), it) } ?: return
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
@@ -54,7 +54,12 @@
         changes: List<RowChange>,
         pendingByQueue: Map<String, Int>,
     ) {
-        val next = record.copy(sequence = record.sequence + 1, pendingByQueue = pendingByQueue)
+        val next =
+            record.copy(
+                sequence = record.sequence + 1,
+                pendingByQueue = pendingByQueue,
+                writtenUnixMillis = clock.wallMillis(),
+            )
         pending = PendingWrite(next, changes)
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -87,7 +87,8 @@
         seen: SeenOwner,
         current: JobsConfiguration,
     ) {
-        val record = OwnerRecord(entryId, epoch = (seen.record?.epoch ?: 0) + 1, sequence = 0)
+        val epoch = (seen.record?.epoch ?: 0) + 1
+        val record = OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis())
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
             ports.store.transact(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Vacancy.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Vacancy.kt
@@ -40,6 +40,7 @@
             ownerId.isEmpty() -> quietMillis >= 0
             // The row is of an earlier process of this entry, which has ended.
             ownerId == entryId -> true
+            (seen.ageAtStartMillis ?: 0) > STALE_AT_START_MILLIS -> quietMillis >= 0
             isSuspect(sighting, seen) -> quietMillis >= SUSPECT_MILLIS
             // After an outage the owner gets the time of two renewals to be heard again.
             contactMillis < 2 * settings.renewMillis -> false
@@ -60,6 +61,9 @@
         const val RANK_STEP_MILLIS = 100L
         const val FRESH_MILLIS = 1_700L
 
+        // Clocks of machines may differ by two seconds; the row of an owner that lives is renewed every 0.4 s.
+        const val STALE_AT_START_MILLIS = 2_500L
+
         // The row of a silent owner has not changed for two renewals.
         const val SUSPECT_MILLIS = 800L
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -59,6 +59,7 @@
  * @property epoch rises with every change of the owner; the fencing token of its orders.
  * @property sequence rises with every write of the owner.
  * @property pendingByQueue accepted jobs of each queue without a started task.
+ * @property writtenUnixMillis when the owner wrote this, by its time of day; 0 when not told.
  */
 @Serializable
 public data class OwnerRecord(
@@ -66,6 +67,7 @@
     val epoch: Long,
     val sequence: Long,
     val pendingByQueue: Map<String, Int> = emptyMap(),
+    val writtenUnixMillis: Long = 0,
 )
 
 /** Codec of stored records. */
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlannerTest.kt
@@ -0,0 +1,69 @@
+package org.verbenagauge.entry.jobs.fleet
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.model.QueueConfiguration
+import org.verbenagauge.entry.jobs.model.ServiceConfiguration
+import org.verbenagauge.entry.jobs.ports.Machine
+
+private const val BUSY = "hall"
+private const val IDLE = "counter"
+private const val STANDBY = "spare"
+
+// Wants as many machines as the table says.
+private class TableSizer(
+    private val machinesByPool: Map<String, Int>,
+) : PoolSizer {
+    override fun size(
+        demand: PoolDemand,
+        now: Long,
+    ): Int = machinesByPool.getValue(demand.poolName)
+}
+
+private fun queue(service: String) =
+    QueueConfiguration(service, "h", "/$service/", service, 0, 3, 2.0, 600, isOpen = true)
+
+private fun engine(vararg unheard: String): JobEngine {
+    val engine = JobEngine(epoch = 1, EngineLimits(), now = 0)
+    val services = listOf(BUSY, IDLE, STANDBY).associateWith { ServiceConfiguration(it, false, it == STANDBY) }
+    engine.configure(JobsConfiguration(1, listOf(queue(BUSY), queue(IDLE)), services, emptyMap(), 1_000))
+    mapOf("w1" to BUSY, "w2" to BUSY, "w3" to IDLE, "w4" to IDLE, "w5" to IDLE).forEach { (id, service) ->
+        engine.list(worker(id).copy(serviceName = service), now = 0)
+        if (id !in unheard) engine.listed(id, listing(), sentAtMillis = 0, now = 0)
+    }
+    return engine
+}
+
+private val machines =
+    mapOf("1" to BUSY, "2" to BUSY, "3" to IDLE, "4" to IDLE, "5" to IDLE, "6" to STANDBY).map { (number, pool) ->
+        Machine("m$number", pool, true, false, false, "a", "w$number".takeIf { pool != STANDBY })
+    }
+
+private fun moves(
+    engine: JobEngine,
+    now: Long,
+): List<Pair<String, String>> =
+    MovePlanner(engine.state, TableSizer(mapOf(BUSY to 4, IDLE to 2)))
+        .next(machines, emptyList(), emptySet(), now)
+        .map { it.machine.machineId to it.poolName }
+
+class MovePlannerTest :
+    FunSpec({
+        test("a pool gets machines from standby first, then idle ones of another pool") {
+            moves(engine(), now = 100) shouldBe listOf("m6" to BUSY, "m3" to BUSY)
+        }
+
+        test("a pool grows at once although one of its own workers has not answered, which counts as there") {
+            moves(engine("w2"), now = 100) shouldBe listOf("m6" to BUSY, "m3" to BUSY)
+        }
+
+        test("a pool with a worker that has not answered gives no machine away for now") {
+            moves(engine("w5"), now = 100) shouldBe listOf("m6" to BUSY)
+            moves(engine("w5"), now = 2_100) shouldBe listOf("m6" to BUSY)
+        }
+    })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VacancyTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VacancyTest.kt
@@ -15,6 +15,7 @@
     val contactMillis: Long? = 60_000,
     val storeSilenceMillis: Long = 0,
     val beatsStoppedMillis: Long? = null,
+    val ageAtStartMillis: Long? = null,
 )
 
 class VacancyTest :
@@ -31,6 +32,23 @@
                 VacancyCase("the store has only just come back", "other", 5_000, false, contactMillis = 300),
                 VacancyCase("the store does not answer", "other", 5_000, false, contactMillis = null),
                 VacancyCase("the feed is silent", "other", 5_000, false, storeSilenceMillis = 1_800),
+                VacancyCase(
+                    "this process found an old row",
+                    "other",
+                    0,
+                    true,
+                    contactMillis = 5,
+                    ageAtStartMillis = 2_600,
+                ),
+                VacancyCase("a row of a clock that is behind", "other", 0, false, ageAtStartMillis = 2_400),
+                VacancyCase(
+                    "a later rank lets others go first",
+                    "other",
+                    50,
+                    false,
+                    rank = 1,
+                    ageAtStartMillis = 2_600,
+                ),
                 VacancyCase("an earlier process of this entry held it", "self", 0, true),
                 VacancyCase("the beats have stopped", "other", 800, true, beatsStoppedMillis = 1_000),
                 VacancyCase(
@@ -47,7 +65,7 @@
                 val record = case.ownerId?.let { OwnerRecord(it, epoch = 3, sequence = 9) }
                 val sighting =
                     OwnerSighting(
-                        seen = SeenOwner(record, 5, now - case.quietMillis),
+                        seen = SeenOwner(record, 5, now - case.quietMillis, case.ageAtStartMillis),
                         contactSinceMillis = case.contactMillis?.let { now - it },
                         storeSilenceMillis = case.storeSilenceMillis,
                         beatsStoppedAtMillis = case.beatsStoppedMillis?.let { now - it },
