--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/jobs/EmbeddedJobEntry.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/jobs/EmbeddedJobEntry.kt
@@ -11,9 +11,9 @@
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.jobs.JobPorts
-import org.verbenagauge.entry.jobs.JobService
+import org.verbenagauge.entry.jobs.JobRuntime
 import org.verbenagauge.entry.jobs.front.jobRoutes
-import org.verbenagauge.entry.jobs.jobService
+import org.verbenagauge.entry.jobs.jobRuntime
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
@@ -35,7 +35,7 @@
 
 /** An entry that runs jobs, with its store and workers in the same process. */
 public class EmbeddedJobEntry internal constructor(
-    private val service: JobService,
+    private val service: JobRuntime,
 ) {
     private val executor =
         Executors.newSingleThreadExecutor { task ->
@@ -79,7 +79,7 @@
     val metrics = JobMetrics(PrometheusRegistry())
     val pool = SimulatedPool(SERVICE, workerCount, Amount(WORKER_CORES, WORKER_MEGABYTES), clock)
     val ports = JobPorts(EmbeddedRowStore(), pool, pool)
-    val service = jobService(ENTRY_ID, ports, clock, EventLog(ENTRY_ID, metrics::event), metrics)
+    val service = jobRuntime(ENTRY_ID, ports, clock, EventLog(ENTRY_ID, metrics::event), metrics)
     service.configure(demoConfiguration(key))
     return EmbeddedJobEntry(service)
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobService.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -37,7 +37,7 @@
 )
 
 /** Takes jobs of callers and, while this entry is the owner, runs them. Used from one coroutine dispatcher of one thread. */
-public class JobService internal constructor(
+public class JobRuntime internal constructor(
     entryId: String,
     ports: JobPorts,
     waves: WavePorts?,
@@ -121,10 +121,10 @@
 }
 
 /** Creates the service of the entry [entryId] for a deployment without machines to manage. */
-public fun jobService(
+public fun jobRuntime(
     entryId: String,
     ports: JobPorts,
     clock: Clock,
     log: EventLog,
     metrics: JobMetrics,
-): JobService = JobService(entryId, ports, waves = null, clock, log, metrics) { EngineLimits() }
+): JobRuntime = JobRuntime(entryId, ports, waves = null, clock, log, metrics) { EngineLimits() }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -22,7 +22,7 @@
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.jobs.JobPorts
-import org.verbenagauge.entry.jobs.JobService
+import org.verbenagauge.entry.jobs.JobRuntime
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.fleet.WavePorts
 import org.verbenagauge.entry.jobs.model.MaintenanceWave
@@ -66,7 +66,7 @@
     private val directory =
         peerAddress?.let { EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id)) }
     private val jobs =
-        JobService(
+        JobRuntime(
             entryId = settings.entry.id,
             ports =
                 JobPorts(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.AdviceConfiguration
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobSpecification
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
@@ -56,6 +57,13 @@
     maxBodyBytes = 1_000,
 )
 
+/** A newer configuration under which the queue needs advice. */
+internal fun advisedConfiguration(): JobsConfiguration {
+    val plain = configuration()
+    val advised = plain.queues.map { it.copy(advice = AdviceConfiguration(1.0, 1.0, validityMillis = 5_000)) }
+    return plain.copy(version = 2, queues = advised)
+}
+
 internal fun worker(
     id: String,
     cpuMillis: Long = 4_000,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineFuzzTest.kt
@@ -3,8 +3,10 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import org.verbenagauge.entry.jobs.ports.EndKind
 
 private const val SEEDS = 400
+private const val CALM_SEEDS = 100
 private const val TROUBLE_MILLIS = 20_000L
 private const val CALM_MILLIS = 60_000L
 
@@ -35,4 +37,17 @@
                 }
             }
         }
+
+        test("without trouble no member of a gang is left alone, no lease passes and every job ends") {
+            (1..CALM_SEEDS).forEach { seed ->
+                val pool = VirtualPool(seed)
+                withClue("seed $seed") {
+                    pool.playCalm(CALM_MILLIS).shouldBeEmpty()
+                    pool.oracle.unfinished().shouldBeEmpty()
+                    pool.oracle.ends.keys
+                        .filter { it == EndKind.ALONE || it == EndKind.LAPSED }
+                        .shouldBeEmpty()
+                }
+            }
+        }
     })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -157,6 +157,53 @@
             engine.decide(2_030, 0).starts().map { it.address.workerId } shouldBe listOf(workerId)
         }
 
+        test("occurrences of a scheduled job open at their times, each once, and may overlap") {
+            val engine = readyEngine("w1")
+            val specification = job(step(1)).specification
+            val scheduled = specification.copy(repetitions = 3, firstRunUnixMillis = 10_000, intervalMillis = 1_000)
+            engine.accept(JOB, job(step(1)).copy(specification = scheduled), now = 0)
+            engine.decide(0, unixMillis = 9_999).starts().shouldBeEmpty()
+            engine.decide(1, unixMillis = 10_000).starts().map { it.order.taskId.occurrence } shouldBe listOf(0)
+            engine.decide(2, unixMillis = 10_500).starts().shouldBeEmpty()
+            engine.decide(3, unixMillis = 12_000).starts().map { it.order.taskId.occurrence } shouldBe listOf(1, 2)
+            // The time of day jumps back.
+            engine.decide(4, unixMillis = 10_000).starts().shouldBeEmpty()
+        }
+
+        test("a step that needs advice starts with tickets only, on workers that the advisor allows") {
+            val engine = readyEngine("w1", "w2")
+            engine.configure(advisedConfiguration())
+            engine.accept(JOB, job(step(2)), now = 0)
+            val asked = engine.decide(0, 0)
+            asked.starts().shouldBeEmpty()
+            val question = asked.filterIsInstance<EngineAction.AskAdvice>().single()
+            engine.decide(10, 0).filterIsInstance<EngineAction.AskAdvice>().shouldBeEmpty()
+            engine.advised(question.stepKey, mapOf("w2" to "ticket-2"), now = 20)
+            val starts = engine.decide(20, 0).starts()
+            starts.map { it.address.workerId to it.order.ticket }.toSet() shouldBe setOf("w2" to "ticket-2")
+            starts shouldHaveSize 2
+        }
+
+        test("a task goes on from its newest checkpoint on another worker") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(1).copy(isCheckpointing = true)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val workerId = start.address.workerId
+            engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 5)
+            val run = running(task(0), start.order.runId).copy(checkpoint = "half")
+            engine.listed(workerId, listing(running = listOf(run)), 10, 20)
+            engine.ended(workerId, now = 30)
+            engine.decide(40, 0).starts().map { it.order.checkpoint } shouldBe listOf("half")
+        }
+
+        test("a task runs only where the label that it needs is, and near its data when it can") {
+            val engine = readyEngine("w1")
+            engine.list(worker("w2").copy(labels = setOf("gpu"), rack = "r2-1"), now = 0)
+            engine.listed("w2", listing(), sentAtMillis = 0, now = 0)
+            engine.accept(JOB, job(step(1).copy(requiredLabel = "gpu"), step(1).copy(dataRack = "r2-1")), now = 0)
+            engine.decide(0, 0).starts().map { it.address.workerId } shouldBe listOf("w2", "w2")
+        }
+
         test("one end of a gang stands for all members, also for one whose worker is lost") {
             val engine = readyEngine("w1", "w2")
             engine.accept(JOB, job(step(2, cpuMillis = 3_000, isGang = true)), now = 0)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/RunOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/RunOracle.kt
@@ -93,6 +93,13 @@
         runningByWorker.values.forEach { it.remove(order.taskId, order.runId) }
     }
 
+    /** How often runs have ended in each way. */
+    val ends = HashMap<EndKind, Int>()
+
+    fun ended(kind: EndKind) {
+        ends.merge(kind, 1, Int::plus)
+    }
+
     fun done(
         id: TaskId,
         workerId: String,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -64,13 +64,29 @@
         calmMillis: Long,
     ): List<String> {
         takeOver()
-        repeat(JOBS) { number -> at(random.nextLong(troubleMillis * 3 / 4)) { submit(number) } }
+        submitJobs(troubleMillis)
         repeat(TAKEOVERS) { at(random.nextLong(troubleMillis)) { loseOwner() } }
         repeat(CRASHES) { at(random.nextLong(troubleMillis)) { crash(workers.values.random(random)) } }
         repeat(SILENCES) { at(random.nextLong(troubleMillis)) { silence(workers.values.random(random)) } }
         at(troubleMillis) { hasTrouble = false }
+        return run(troubleMillis + calmMillis)
+    }
+
+    /** Plays [calmMillis] without any trouble; returns what was violated. */
+    fun playCalm(calmMillis: Long): List<String> {
+        hasTrouble = false
+        takeOver()
+        submitJobs(calmMillis / 2)
+        return run(calmMillis)
+    }
+
+    private fun submitJobs(withinMillis: Long) {
+        repeat(JOBS) { number -> at(random.nextLong(withinMillis * 3 / 4)) { submit(number) } }
+    }
+
+    private fun run(untilMillis: Long): List<String> {
         at(0, ::advanceWorkers)
-        while (queue.isNotEmpty() && queue.peek().atMillis <= troubleMillis + calmMillis) {
+        while (queue.isNotEmpty() && queue.peek().atMillis <= untilMillis) {
             val event = queue.poll()
             now = event.atMillis
             event.action()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualWorker.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualWorker.kt
@@ -76,6 +76,7 @@
         kind: EndKind?,
     ) {
         oracle.gone(run.order)
+        if (kind != null) oracle.ended(kind)
         if (oracle.stepOf(run.order.taskId).isGang) gangs.left(run.order, kind)
     }
 
