Serve late jobs that are still of use before useless ones, the least work first

Jobs that would miss their objective stood in one group by priority and objective, so that those of no use any more, the oldest, took room before those that could still be served within three times the objective. Ruled out: dropping useless jobs; each accepted job has to end. Change: ObjectiveOrder has a group for jobs that are late and of use, the least work first; the useless come last. A test replays such a backlog: 6 jobs served in time of use against none in order of arrival.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -114,6 +114,15 @@
         return specification.longestChainMillis { if (steps?.get(it)?.isDone == true) 0 else expectMillis(it, times) }
     }
 
+    /** Expected work of all tasks that are not done, in core milliseconds times a thousand. */
+    fun remainingWork(times: RunTimes): Long {
+        val steps = open[open.keys.firstOrNull() ?: 0]?.steps
+        return specification.steps.withIndex().sumOf { (index, step) ->
+            val openTasks = step.taskCount - (steps?.get(index)?.doneCount ?: 0)
+            openTasks * step.amount.cpuMillis * expectMillis(index, times)
+        }
+    }
+
     private fun expectMillis(
         step: Int,
         times: RunTimes,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobOrder.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobOrder.kt
@@ -18,16 +18,26 @@
 }
 
 /**
- * Lasting tasks first, then jobs that can still meet their latency objective, then priority, then the earliest
- * objective. Answers a backlog after an outage, where the oldest jobs are late whatever is done for them.
+ * Lasting tasks first, then jobs that can still meet their latency objective, by priority and earliest objective; then
+ * those that can still be of use although late, the least work first, so that most of them are served; then the rest.
+ * Answers a backlog after an outage, where the oldest jobs are late whatever is done for them.
  */
 internal class ObjectiveOrder(
     private val times: RunTimes,
 ) : JobOrder {
+    // In the order in which they are served.
+    private enum class Prospect {
+        LASTING,
+        ON_TIME,
+        LATE,
+        USELESS,
+    }
+
     private class Ranked(
         val job: JobEntry,
-        val isHopeless: Boolean,
-        val objectiveAtMillis: Long,
+        val prospect: Prospect,
+        val priority: Int,
+        val urgency: Long,
     )
 
     override fun sorted(
@@ -36,18 +46,28 @@
     ): List<JobEntry> =
         jobs
             .map { ranked(it, now) }
-            .sortedWith(
-                compareBy<Ranked>({ !it.job.isLasting }, { it.isHopeless }, { it.job.queue.priority })
-                    .thenBy { it.objectiveAtMillis }
-                    .thenBy { it.job.id },
-            ).map { it.job }
+            .sortedWith(compareBy({ it.prospect }, { it.priority }, { it.urgency }, { it.job.id }))
+            .map { it.job }
 
     private fun ranked(
         job: JobEntry,
         now: Long,
     ): Ranked {
-        if (job.isLasting || job.specification.isScheduled) return Ranked(job, false, job.acceptedAtMillis)
+        val priority = job.queue.priority
+        if (job.isLasting) return Ranked(job, Prospect.LASTING, priority, job.acceptedAtMillis)
+        if (job.specification.isScheduled) return Ranked(job, Prospect.ON_TIME, priority, job.acceptedAtMillis)
         val objective = job.objectiveAtMillis(times)
-        return Ranked(job, now + job.remainingMillis(times) > objective, objective)
+        val doneAtMillis = now + job.remainingMillis(times)
+        val uselessAtMillis = job.acceptedAtMillis + (objective - job.acceptedAtMillis) * USEFUL_OBJECTIVES
+        return when {
+            doneAtMillis <= objective -> Ranked(job, Prospect.ON_TIME, priority, objective)
+            doneAtMillis <= uselessAtMillis -> Ranked(job, Prospect.LATE, 0, job.remainingWork(times))
+            else -> Ranked(job, Prospect.USELESS, priority, objective)
+        }
+    }
+
+    private companion object {
+        // Callers take a result up to three times the objective after they asked.
+        const val USEFUL_OBJECTIVES = 3
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobOrderTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobOrderTest.kt
@@ -26,6 +26,27 @@
     return onTime
 }
 
+// Jobs that are late but still of use, large ones first, and some that are of no use any more; a pool with one slot.
+private fun usefulAfterOutage(order: (RunTimes) -> JobOrder): Int {
+    val times = RunTimes().also { it.learn(QUEUE, JOB_MILLIS) }
+    val queue = configuration().queues.single()
+    val useless = (0 until BACKLOG / 4).map { JobEntry("useless-$it", job(step(1)), queue, -9_000L, true) }
+    val large = (0 until BACKLOG / 4).map { JobEntry("large-$it", job(step(4)), queue, -1_500L, true) }
+    val small = (0 until BACKLOG / 4).map { JobEntry("small-$it", job(step(1)), queue, -1_400L, true) }
+    val waiting = (useless + large + small).toMutableList()
+    var useful = 0
+    var now = 0L
+    val rule = order(times)
+    while (waiting.isNotEmpty()) {
+        val next = rule.sorted(waiting, now).first()
+        waiting -= next
+        now += JOB_MILLIS * next.specification.steps.sumOf { it.taskCount }
+        val objectiveMillis = next.objectiveAtMillis(times) - next.acceptedAtMillis
+        if (now <= next.acceptedAtMillis + 3 * objectiveMillis) useful++
+    }
+    return useful
+}
+
 class JobOrderTest :
     FunSpec({
         test(
@@ -37,6 +58,11 @@
             chosen shouldBeGreaterThan BACKLOG / 2
         }
 
+        test("of jobs that are late but still of use, small ones are served before large ones and useless ones wait") {
+            usefulAfterOutage { ArrivalOrder } shouldBe 0
+            usefulAfterOutage(::ObjectiveOrder) shouldBe 6
+        }
+
         test("lasting tasks go first") {
             val queue = configuration().queues.single()
             val short = JobEntry("a", job(step(1)), queue, 0, false)
