Order no machine down in the moment in which a lasting task is stopped beside it

Ruled out: orders of an earlier owner (there was none), unanswered orders (all were answered).

Change: once a decision stops a run, it orders no machine with lasting tasks. One test, which fails without.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveSteps.kt
@@ -61,7 +61,9 @@
                 return@forEach
             }
             if (!isEmptied(worker, progress, id, now)) return@forEach
-            if (guard.mayEnd(worker, ending, now)) {
+            // A run that this decision stops still looks as if it were at work.
+            val isClear = stop.isEmpty() || worker.runs.values.none { it.specification.isLasting }
+            if (isClear && guard.mayEnd(worker, ending, now)) {
                 order += machine
                 ending += worker.id
             } else if (stop.isEmpty()) {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveStepsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveStepsTest.kt
@@ -123,6 +123,23 @@
             step.order.shouldBeEmpty()
         }
 
+        test("a step does not lose a second task in the moment in which another is stopped to thin out its machine") {
+            val engine = readyEngine("w1", "w2", "w3", "w4", "w5", "w6")
+            val step = step(3, cpuMillis = 2_000, isLasting = true, maxPerWorker = 2, mayMiss = 1)
+            engine.accept(JOB, job(step), now = 0)
+            val starts = engine.decide(0, 0).starts()
+            starts.groupBy { it.address.workerId }.values.map { it.size } shouldBe listOf(2, 1)
+            starts.forEach { engine.started(it.address.workerId, it.order, OrderOutcome.Done(1_000), now = 5) }
+            starts.groupBy { it.address.workerId }.forEach { (workerId, orders) ->
+                val runs = orders.map { running(it.order.taskId, it.order.runId, percent = 100) }
+                engine.listed(workerId, listing(running = runs), SETTLED - 10, SETTLED)
+            }
+            val progress = progress(2, maxAtOnce = 2)
+            progress.emptyingSinceMillis += mapOf("m1" to SETTLED, "m2" to SETTLED)
+            val next = steps(engine).next(progress, (1..6).map { machine(it) }, SETTLED, SETTLED + 30)
+            next.stop.size + next.order.size shouldBe 1
+        }
+
         test("a step does not lose a task while the machine of another is listed as down") {
             val engine = lastingOn("w1", "w2", "w3", "w4", "w5", "w6")
             val machines = (1..5).map { machine(it) } + machine(6, isUp = false, isInMaintenance = true)
