--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -195,15 +195,22 @@
         return true
     }
 
-    /** Takes in the outcome of an order to start; false after a higher epoch. */
+    /** Takes in the outcome of an order to start that was sent at [sentAtMillis]; false after a higher epoch. */
     fun started(
         workerId: String,
         order: StartOrder,
         outcome: OrderOutcome,
         now: Long,
+        sentAtMillis: Long = now,
     ): Boolean {
         val worker = state.workers[workerId] ?: return true
         val run = worker.runs[order.taskId]?.takeIf { it.runId == order.runId } ?: return true
+        val isAnswered = outcome is OrderOutcome.Done || outcome is OrderOutcome.Refused
+        if (isAnswered && sentAtMillis < worker.lifeSinceMillis) {
+            // Perhaps an answer of the life before: its clock and what it ran say nothing of this one.
+            retry(worker, run, order, isUncertain = true)
+            return true
+        }
         when (outcome) {
             is OrderOutcome.Done -> {
                 // Accepted, so that the lease has not passed, whatever was thought of the clock.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -21,7 +21,7 @@
         sentAtMillis: Long,
         now: Long,
     ) {
-        if (worker.bornUnixMillis != listing.bornUnixMillis) begin(worker, listing)
+        if (worker.bornUnixMillis != listing.bornUnixMillis) begin(worker, listing, now)
         if (!worker.isHeard) {
             worker.isHeard = true
             worker.leaseUntilWorkerMillis = longestLeaseEnd(listing)
@@ -43,8 +43,10 @@
     private fun begin(
         worker: WorkerEntry,
         listing: WorkerListing,
+        now: Long,
     ) {
         if (worker.bornUnixMillis != 0L) {
+            worker.lifeSinceMillis = now
             state.note(NoteKind.WORKER_RESTARTED, worker.id, "${worker.runs.size} runs were known")
         }
         worker.bornUnixMillis = listing.bornUnixMillis
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBook.kt
@@ -19,6 +19,9 @@
     var isHeard = false
     var bornUnixMillis = 0L
 
+    /** When the life that is known was first heard of. */
+    var lifeSinceMillis = 0L
+
     /** Number of the last end that was taken in. */
     var seenEnd = 0L
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -153,10 +153,12 @@
     }
 
     private suspend fun start(action: EngineAction.Start) {
+        val sentAtMillis = clock.monotonicMillis()
         val outcome = ports.workers.start(action.address, action.order)
         if (outcome is OrderOutcome.Unanswered || outcome is OrderOutcome.NotSent) delay(ORDER_RETRY_MILLIS)
         val workerId = action.address.workerId
-        keepOrEnd(engine.started(workerId, action.order, outcome, clock.monotonicMillis()), workerId)
+        val isOwner = engine.started(workerId, action.order, outcome, clock.monotonicMillis(), sentAtMillis)
+        keepOrEnd(isOwner, workerId)
         wake()
     }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -204,6 +204,19 @@
             engine.decide(0, 0).starts().map { it.address.workerId } shouldBe listOf("w2", "w2")
         }
 
+        test("an answer of an earlier life of a worker does not make the leases of the next life look passed") {
+            val engine = readyEngine("w1", "w2")
+            engine.listed("w1", listing(clockMillis = 90_000), 0, 1)
+            engine.accept(JOB, job(step(2, cpuMillis = 3_000)), now = 5)
+            val late = engine.decide(5, 0).starts().single { it.address.workerId == "w1" }
+            engine.listed("w1", listing(clockMillis = 10, bornUnixMillis = BORN + 1), 20, 30)
+            engine.started("w1", late.order, OrderOutcome.Done(90_020), now = 40, sentAtMillis = 6)
+            engine.decide(50, 0).starts().map { it.order.runId } shouldBe listOf(late.order.runId)
+            engine.state.workers
+                .getValue("w1")
+                .estimatedClockMillis(50) shouldBe 30
+        }
+
         test("one end of a gang stands for all members, also for one whose worker is lost") {
             val engine = readyEngine("w1", "w2")
             engine.accept(JOB, job(step(2, cpuMillis = 3_000, isGang = true)), now = 0)
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OverloadReplay.kt
@@ -0,0 +1,163 @@
+package org.verbenagauge.entry.jobs.engine
+
+import org.verbenagauge.entry.jobs.model.QueueConfiguration
+import org.verbenagauge.entry.jobs.model.StepSpecification
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/**
+ * How a replay went.
+ *
+ * @property onTime share of jobs that met their objective.
+ * @property useful share of jobs that were done within three times the objective.
+ * @property largeOnTime share of large jobs that met their objective.
+ */
+internal data class ReplayResult(
+    val onTime: Double,
+    val useful: Double,
+    val largeOnTime: Double,
+)
+
+/**
+ * Replays a turn of demand: for some seconds a queue asks for more than its pool holds, in small jobs and a few large ones,
+ * with estimates that are off; before and after it asks for little. Only the order of jobs decides.
+ *
+ * @param overload work asked for in the turn, as a multiple of what the pool can do.
+ */
+internal class OverloadReplay(
+    private val overload: Double,
+    seed: Int,
+    order: (RunTimes) -> JobOrder,
+) {
+    private class Running(
+        val task: TaskEntry,
+        val cores: Long,
+        val startedAtMillis: Long,
+        val endAtMillis: Long,
+    )
+
+    private val random = Random(seed)
+    private val times = RunTimes()
+    private val rule = order(times)
+    private val queue: QueueConfiguration = configuration().queues.single()
+    private val jobs = LinkedHashMap<String, JobEntry>()
+    private val nominalMillis = HashMap<String, Long>()
+    private val doneAtMillis = HashMap<String, Long>()
+    private val running = PriorityQueue<Running>(compareBy { it.endAtMillis })
+    private var freeCores = POOL_CORES
+
+    fun play(): ReplayResult {
+        var now = 0L
+        while (now < END_MILLIS) {
+            finish(now)
+            arrive(now)
+            start(now)
+            now += TICK_MILLIS
+        }
+        return result()
+    }
+
+    private fun arrive(now: Long) {
+        val share = if (now in TURN_START_MILLIS until TURN_END_MILLIS) overload else REST
+        val perSecond = share * POOL_CORES / MEAN_CORE_SECONDS
+        if (now < LAST_ARRIVAL_MILLIS && random.nextDouble() < perSecond * TICK_MILLIS / 1_000.0) accept(now)
+    }
+
+    private fun accept(now: Long) {
+        val isLarge = random.nextInt(LARGE_ONE_IN) == 0
+        val id = "${if (isLarge) "large" else "small"}-${jobs.size}"
+        val first = step(isLarge, emptyList())
+        val steps = if (isLarge || random.nextInt(5) < 3) listOf(first, step(isLarge, listOf(0))) else listOf(first)
+        val entry = JobEntry(id, job(*steps.toTypedArray()), queue, now, isInherited = false)
+        val occurrence = OccurrenceEntry(entry, 0)
+        entry.open[0] = occurrence
+        occurrence.steps.first().let { step -> step.tasks.forEach { it.phase = TaskPhase.READY } }
+        occurrence.steps.first().isOpen = true
+        jobs[id] = entry
+        nominalMillis[id] = steps.size * (if (isLarge) LARGE_MILLIS else SMALL_MILLIS)
+    }
+
+    private fun step(
+        isLarge: Boolean,
+        dependsOn: List<Int>,
+    ): StepSpecification {
+        val millis = if (isLarge) LARGE_MILLIS else SMALL_MILLIS
+        val estimate = (millis * (0.1 + random.nextDouble() * 1.8)).toLong()
+        return step(if (isLarge) 8 else 6, if (isLarge) 7_700 else 3_500, dependsOn = dependsOn)
+            .copy(estimatedMillis = estimate)
+    }
+
+    private fun start(now: Long) {
+        val waiting = jobs.values.filter { entry -> entry.tasks().any { it.phase == TaskPhase.READY } }
+        rule.sorted(waiting, now).forEach { entry ->
+            entry.tasks().filter { it.phase == TaskPhase.READY }.forEach { task ->
+                val cores = task.amount.cpuMillis / 1_000
+                if (cores > freeCores) return
+                freeCores -= cores
+                task.phase = TaskPhase.PLACED
+                entry.hasStarted = true
+                val millis = if (entry.id.startsWith("large")) LARGE_MILLIS else SMALL_MILLIS
+                val endAtMillis = now + (millis * (0.6 + random.nextDouble() * 0.8)).toLong()
+                running += Running(task, cores, now, endAtMillis)
+            }
+        }
+    }
+
+    private fun finish(now: Long) {
+        while (running.isNotEmpty() && running.peek().endAtMillis <= now) {
+            val run = running.poll()
+            freeCores += run.cores
+            run.task.phase = TaskPhase.DONE
+            run.task.step.doneCount++
+            times.learn(queue.name, run.endAtMillis - run.startedAtMillis)
+            if (run.task.step.isDone) stepDone(run.task, now)
+        }
+    }
+
+    private fun stepDone(
+        task: TaskEntry,
+        now: Long,
+    ) {
+        val next =
+            task.step.occurrence.steps
+                .firstOrNull { !it.isOpen }
+        if (next == null) {
+            doneAtMillis[task.job.id] = now
+            return
+        }
+        next.isOpen = true
+        next.tasks.forEach { it.phase = TaskPhase.READY }
+    }
+
+    // As callers see it: by the true duration, not by estimates.
+    private fun result(): ReplayResult {
+        fun tookObjectives(entry: JobEntry): Double {
+            val objectiveMillis = queue.objectiveMillis + queue.slackFactor * nominalMillis.getValue(entry.id)
+            val doneAt = doneAtMillis[entry.id] ?: return Double.MAX_VALUE
+            return (doneAt - entry.acceptedAtMillis) / objectiveMillis
+        }
+
+        fun share(
+            entries: List<JobEntry>,
+            objectives: Double,
+        ) = entries.count { tookObjectives(it) <= objectives }.toDouble() / entries.size
+        val all = jobs.values.toList()
+        return ReplayResult(share(all, 1.0), share(all, 3.0), share(all.filter { it.id.startsWith("large") }, 1.0))
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 10L
+        const val POOL_CORES = 512L
+        const val SMALL_MILLIS = 640L
+        const val LARGE_MILLIS = 1_300L
+        const val LARGE_ONE_IN = 8
+
+        // Seven small ones of 21.5 and a large one of 160 core seconds, on average.
+        const val MEAN_CORE_SECONDS = 39.0
+        const val REST = 0.2
+        const val TURN_START_MILLIS = 2_000L
+        const val TURN_END_MILLIS = 10_000L
+        const val LAST_ARRIVAL_MILLIS = 20_000L
+        const val END_MILLIS = 60_000L
+    }
+}
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -238,7 +238,7 @@
             when {
                 isLate -> Unit
                 outcome == null || isAnswerLost -> at(580) { unanswered(owner, action) }
-                else -> at(delay()) { owner.started(worker.id, action.order, outcome, now) }
+                else -> at(delay()) { owner.started(worker.id, action.order, outcome, now, sentAtMillis) }
             }
         }
         if (isLate) at(580) { unanswered(owner, action) }
