Take the least work first back for jobs that can be on time

Change: jobs that can be on time go by priority and earliest objective again; late jobs of use by the least work, as before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobOrder.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobOrder.kt
@@ -28,10 +28,10 @@
 }
 
 /**
- * Lasting tasks first, then jobs that can still meet their latency objective, by priority; then those that can still be of
- * use although late; within each the least open work first, so that most of them are served. The rest comes last, oldest
- * first. Answers turns of demand beyond what a pool holds, where the earliest objective first would make job after job miss
- * its objective, and a backlog after an outage, where the oldest jobs are late whatever is done for them.
+ * Lasting tasks first, then jobs that can still meet their latency objective, by priority and earliest objective; then
+ * those that can still be of use although late, the least open work first, so that most of them are served; then the rest.
+ * Answers turns of demand beyond what a pool holds and a backlog after an outage, where the oldest jobs are late whatever is
+ * done for them.
  */
 internal class ObjectiveOrder(
     private val times: RunTimes,
@@ -71,7 +71,7 @@
         val doneAtMillis = now + job.remainingMillis(times)
         val uselessAtMillis = job.acceptedAtMillis + (objective - job.acceptedAtMillis) * USEFUL_OBJECTIVES
         return when {
-            doneAtMillis <= objective -> Ranked(job, Prospect.ON_TIME, priority, job.remainingWork(times))
+            doneAtMillis <= objective -> Ranked(job, Prospect.ON_TIME, priority, objective)
             doneAtMillis <= uselessAtMillis -> Ranked(job, Prospect.LATE, 0, job.remainingWork(times))
             else -> Ranked(job, Prospect.USELESS, priority, objective)
         }
