--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/JobClient.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/JobClient.kt
@@ -94,8 +94,8 @@
 private fun exitCodeOf(reason: Reason): ExitCode =
     when (reason) {
         Reason.KEY_MISSING, Reason.KEY_UNKNOWN -> ExitCode.REFUSED
-        Reason.JOB_MALFORMED, Reason.JOB_ID_MALFORMED, Reason.JOB_UNKNOWN, Reason.UNKNOWN_QUEUE, Reason.BODY_TOO_LARGE ->
-            ExitCode.INVALID
+        Reason.JOB_MALFORMED, Reason.JOB_ID_MALFORMED, Reason.BODY_TOO_LARGE -> ExitCode.INVALID
+        Reason.JOB_UNKNOWN, Reason.UNKNOWN_QUEUE -> ExitCode.INVALID
         Reason.JOB_MAY_BE_STORED -> ExitCode.UNKNOWN
         else -> ExitCode.UNAVAILABLE
     }
