--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/JobStory.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/JobStory.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 
-/** Collects what log lines of any number of processes say of the job [id], and of the workers that ran its tasks. */
+/** Collects what log lines of any number of processes say of the job [id] and its tasks. */
 internal class JobStory(
     private val id: String,
 ) {
