Tell why a task may start again, and which workers a new owner has heard

Each start now names the end of the run before it; 7005 tells which workers had answered when inherited jobs started, 7024 and 7025 which runs were found, 7026 each run that was taken for ended without a listed end. No decision changes.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -39,6 +39,9 @@
     var checkpoint = ""
     var readySinceMillis = 0L
 
+    /** How the last run that is known came to its end, for the log. */
+    var lastRun = "no run is known"
+
     /** Runs that ended as failed. */
     val failedRuns = sortedSetOf<Long>()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -34,7 +34,8 @@
     private val workers = WorkerKeeper(state, runs)
     private val answers = OrderAnswers(state, runs, health, workers)
     private val listings = ListingReader(state, registry, runs, health)
-    private val scheduler = Scheduler(state, runs, order(state.runTimes), placement, copies)
+    private val earlierRuns = EarlierRuns(state)
+    private val scheduler = Scheduler(state, runs, order(state.runTimes), placement, copies, earlierRuns)
     private val stuckGuard = StuckGuard(state, runs, health)
     private val paceGuard = PaceGuard(state)
     private val gangGuard = GangGuard(state, runs)
@@ -241,7 +242,7 @@
         runs.repeatStops(now)
         stuckGuard.check(now)
         paceGuard.check(now)
-        gangGuard.check({ scheduler.isSettled(it, now) }, now)
+        gangGuard.check({ earlierRuns.areKnown(it, now) }, now)
         if (mayStart) scheduler.schedule(now)
         return state.takeActions()
     }
@@ -252,7 +253,15 @@
             if (!worker.isHeard || !worker.hasSurelyLapsed(now, limits)) return@forEach
             worker.runs.values
                 .filter { !worker.isListed || !mayStillBegin(it) }
-                .forEach { runs.gone(it, now) }
+                .forEach {
+                    val evidence = "its lease has passed, last answer ${now - worker.lastAnswerMillis} ms ago"
+                    state.note(
+                        NoteKind.RUN_GIVEN_UP,
+                        it.taskId.toString(),
+                        "run ${it.runId} on ${worker.id}: $evidence",
+                    )
+                    runs.gone(it, evidence, now)
+                }
             if (!worker.isListed &&
                 worker.runs.isEmpty()
             ) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -70,11 +70,12 @@
         if (end.kind != EndKind.DONE) {
             state.note(NoteKind.RUN_ENDED, id.toString(), "run ${end.runId} on ${worker.id}: ${end.kind}")
         }
-        if (run != null) runs.gone(run, now)
+        if (run != null) runs.gone(run, "ended ${end.kind}", now)
         if (task == null) return
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         when (end.kind) {
             EndKind.DONE -> {
+                noteDoubled(task, end, worker)
                 health.succeeded(worker)
                 if (run != null && run.runId == end.runId) {
                     learn(worker, task, run, now)
@@ -94,6 +95,18 @@
         }
     }
 
+    private fun noteDoubled(
+        task: TaskEntry,
+        end: ListedEnd,
+        worker: WorkerEntry,
+    ) {
+        if (task.step.specification.mayRunCopies || task.step.specification.isGang) return
+        val other = task.run
+        if (task.phase != TaskPhase.DONE && other == null) return
+        val beside = other?.let { "run ${it.runId} on ${it.workerId}, ${it.phase}" } ?: "an earlier end as done"
+        state.note(NoteKind.RUN_DOUBLED, task.id.toString(), "run ${end.runId} is done on ${worker.id} beside $beside")
+    }
+
     private fun learn(
         worker: WorkerEntry,
         task: TaskEntry,
@@ -175,9 +188,27 @@
         val isWanted = task != null && task.run == null && task.phase != TaskPhase.DONE
         runs.add(run, task.takeIf { isWanted }, worker)
         update(run, listed, now)
+        noteFound(run, task, isWanted)
         if (!isWanted) runs.stop(run, now)
     }
 
+    private fun noteFound(
+        run: Run,
+        task: TaskEntry?,
+        isWanted: Boolean,
+    ) {
+        val found = "run ${run.runId} found on ${run.workerId}"
+        val other = task?.runs?.firstOrNull { it !== run }
+        when {
+            isWanted -> state.note(NoteKind.RUN_ADOPTED, run.taskId.toString(), found)
+            task == null -> state.note(NoteKind.RUN_ADOPTED, run.taskId.toString(), "$found; no open task")
+            else -> {
+                val beside = other?.let { "run ${it.runId} on ${it.workerId}, ${it.phase}" } ?: "${task.phase}"
+                state.note(NoteKind.RUN_DOUBLED, run.taskId.toString(), "$found beside $beside")
+            }
+        }
+    }
+
     // A run that was confirmed before the worker was asked, and that it lists neither as running nor as ended.
     private fun dropMissing(
         worker: WorkerEntry,
@@ -195,7 +226,7 @@
                 }
             if (isCertain && (run.taskId to run.runId) !in listed) {
                 state.note(NoteKind.RUN_LOST, run.taskId.toString(), "run ${run.runId} is not listed by ${worker.id}")
-                runs.gone(run, now)
+                runs.gone(run, "not listed", now)
             }
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -36,7 +36,8 @@
             }
 
             is OrderOutcome.Unanswered -> retry(worker, run, order, isUncertain = true)
-            is OrderOutcome.NotSent -> if (run.isUncertain) retry(worker, run, order, true) else runs.gone(run, now)
+            is OrderOutcome.NotSent ->
+                if (run.isUncertain) retry(worker, run, order, true) else giveUp(run, "not sent: ${outcome.cause}", now)
             is OrderOutcome.Refused -> return refused(worker, run, outcome.refusal, now)
         }
         return true
@@ -78,11 +79,20 @@
             refusal == StartRefusal.OLD_RUN -> confirm(run, now)
             refusal == StartRefusal.OTHER_LIFE -> workers.drop(worker, "another worker answers at its address", now)
             run.isUncertain && refusal != StartRefusal.LEASE_PASSED -> runs.stop(run, now)
-            else -> runs.gone(run, now)
+            else -> giveUp(run, "refused: $refusal", now)
         }
         return true
     }
 
+    private fun giveUp(
+        run: Run,
+        evidence: String,
+        now: Long,
+    ) {
+        state.note(NoteKind.RUN_GIVEN_UP, run.taskId.toString(), "run ${run.runId} on ${run.workerId}: $evidence")
+        runs.gone(run, evidence, now)
+    }
+
     /** Takes in the outcome of an order to stop; false after a higher epoch. */
     fun stopped(
         workerId: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunKeeper.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunKeeper.kt
@@ -32,9 +32,13 @@
         task.copy = run
     }
 
-    /** Takes note that [run] is surely gone from its worker; its task may start again unless a copy goes on. */
+    /**
+     * Takes note that [run] is surely gone from its worker, which [evidence] tells; its task may start again unless a
+     * copy goes on.
+     */
     fun gone(
         run: Run,
+        evidence: String,
         now: Long,
     ) {
         val worker = state.workers[run.workerId]
@@ -42,6 +46,7 @@
         worker.remove(run)
         state.quota.remove(run)
         val task = taskOf(run.taskId) ?: return
+        task.lastRun = "run ${run.runId} on ${run.workerId}: $evidence"
         if (task.copy === run) {
             task.copy = null
             return
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -13,6 +13,7 @@
     private val order: JobOrder,
     private val placement: Placement,
     private val copies: CopyPolicy,
+    private val earlierRuns: EarlierRuns,
 ) {
     /** Starts what fits. */
     fun schedule(now: Long) {
@@ -25,7 +26,7 @@
         state.wantedByService.clear()
         jobsByService.forEach { (service, jobs) ->
             val workers = workersByService[service].orEmpty()
-            val isSettled = isSettled(service, now)
+            val isSettled = earlierRuns.areKnown(service, now)
             val open = jobs.filter { (isSettled || !it.isInherited) && it.hasReadyTask() }
             order.sorted(open, now).forEach { job ->
                 job.open.values.forEach { occurrence ->
@@ -57,20 +58,6 @@
 
     private fun JobEntry.hasReadyTask() = tasks().any { it.phase == TaskPhase.READY }
 
-    /**
-     * Whether the runs of earlier owners on workers of [service] are known: each worker has answered under this epoch,
-     * or every lease that an earlier owner may have sent it has passed.
-     */
-    fun isSettled(
-        service: String,
-        now: Long,
-    ): Boolean {
-        val leaseMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK).toLong()
-        val boundMillis = state.limits.ownerLeaseMillis + leaseMillis + state.limits.clockMarginMillis
-        if (now - state.startedAtMillis > boundMillis) return true
-        return state.isListKnown && state.workers.values.none { it.listed.serviceName == service && !it.isHeard }
-    }
-
     private inner class StepPass(
         private val step: StepEntry,
         private val workers: List<WorkerEntry>,
@@ -152,7 +139,7 @@
                     worker != null
                 }
             if (!fits) {
-                tentative.forEach { runs.gone(it, now) }
+                tentative.forEach { runs.gone(it, "never ordered", now) }
                 return 0
             }
             ready.forEach { it.checkpoint = checkpoint }
@@ -198,7 +185,7 @@
                 NoteKind.RUN_ORDERED,
                 task.id.toString(),
                 "run ${run.runId} on ${worker.id}, free ${worker.free.cpuMillis}m, " +
-                    "waited ${now - task.readySinceMillis} ms",
+                    "waited ${now - task.readySinceMillis} ms, ${task.lastRun}",
             )
             if (job.state == JobState.QUEUED) {
                 job.state = JobState.ACTIVE
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerKeeper.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerKeeper.kt
@@ -14,7 +14,7 @@
         state.note(NoteKind.WORKER_GONE, worker.id, "$reason; ${worker.runs.size} runs")
         worker.runs.values
             .toList()
-            .forEach { runs.gone(it, now) }
+            .forEach { runs.gone(it, reason, now) }
         state.workers.remove(worker.id)
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -12,6 +12,10 @@
         NoteKind.RUN_ENDED -> Event.RUN_ENDED
         NoteKind.RUN_LOST -> Event.RUN_LOST
         NoteKind.RUN_STUCK -> Event.RUN_STUCK
+        NoteKind.RUN_ADOPTED -> Event.RUN_ADOPTED
+        NoteKind.RUN_DOUBLED -> Event.RUN_DOUBLED
+        NoteKind.RUN_GIVEN_UP -> Event.RUN_GIVEN_UP
+        NoteKind.RUNS_KNOWN -> Event.RUNS_KNOWN
         NoteKind.WORKER_HEARD -> Event.WORKER_HEARD
         NoteKind.WORKER_AVOIDED -> Event.WORKER_AVOIDED
         NoteKind.WORKER_GONE -> Event.WORKER_GONE
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -145,10 +145,7 @@
             is EngineAction.Watch -> watch(scope, action.address)
             is EngineAction.AskAdvice -> scope.launch { advise(action) }
             is EngineAction.Note ->
-                log.write(
-                    eventOf(action.note.kind),
-                    "${action.note.subject}: ${action.note.detail}",
-                )
+                log.write(eventOf(action.note.kind), action.note.subject, action.note.detail)
         }
     }
 
