Reproduce the double runs after a change of the owner, five ways

Each test plays what a second owner sees: a worker's list entry that expires before the worker answers, a job that comes by the feed while the earlier owner may still order, a run and an end of a job that is not read yet, and an occurrence that only the earlier owner has seen as due.

--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
@@ -0,0 +1,89 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.model.JobSpecification
+import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.records.JobRecord
+
+private const val JOB = "0000000000000001"
+private const val EARLIER_RUN = 7L
+private val task = TaskId(JOB, 0, 0, 0)
+
+/** An engine of a second owner, whose [workerIds] are listed and have not answered yet. */
+private fun secondOwner(vararg workerIds: String): JobEngine {
+    val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
+    engine.configure(configuration())
+    engine.state.isListKnown = true
+    workerIds.forEach { engine.list(worker(it), now = 0) }
+    return engine
+}
+
+// Incident 003: tasks that must run once ran twice when the duty of the owner passed on.
+class DoubleRunAfterTakeoverTest :
+    FunSpec({
+        test("an inherited task waits for a worker whose list entry expired before it answered") {
+            val engine = secondOwner("w1", "w2")
+            engine.inherit(JOB, job(step(1, isLasting = true)), progress = null, acceptedAtMillis = 0, now = 0)
+            engine.listed("w2", listing(), 0, 5)
+            engine.unlist("w1", now = 10)
+            engine.decide(10, 0).starts().shouldBeEmpty()
+            engine.listed("w1", listing(running = listOf(running(task, EARLIER_RUN))), 20, 30)
+            engine.decide(30, 0).starts().shouldBeEmpty()
+        }
+
+        test("a job that comes while the earlier owner may still order waits for all workers") {
+            val engine = secondOwner("w1", "w2")
+            engine.listed("w2", listing(), 0, 5)
+            engine.accept(JOB, job(step(1)), now = 10)
+            engine.decide(10, 0).starts().shouldBeEmpty()
+            engine.listed("w1", listing(running = listOf(running(task, EARLIER_RUN))), 20, 30)
+            engine.decide(30, 0).starts().shouldBeEmpty()
+        }
+
+        test("a run that is found before its job is read counts as the run of its task") {
+            val engine = secondOwner("w1", "w2")
+            engine.listed("w1", listing(running = listOf(running(task, EARLIER_RUN))), 0, 5)
+            engine.listed("w2", listing(), 0, 5)
+            engine.decide(5, 0).stops().shouldBeEmpty()
+            engine.accept(JOB, job(step(1)), now = 10)
+            engine.decide(10, 0).starts().shouldBeEmpty()
+            engine.listed("w1", listing(ended = listOf(end(1, task, EARLIER_RUN, EndKind.DONE))), 20, 30)
+            engine.decide(30, 0).starts().shouldBeEmpty()
+            engine.state
+                .takeChanges(10)
+                .single()
+                .state shouldBe JobState.COMPLETED
+        }
+
+        test("an end as done that is listed before its job is read is kept and not acknowledged before it is stored") {
+            val engine = secondOwner("w1", "w2")
+            engine.listed("w1", listing(ended = listOf(end(1, task, EARLIER_RUN, EndKind.DONE))), 0, 5)
+            engine.listed("w2", listing(), 0, 5)
+            engine.seenEnds().single { it.workerId == "w1" }.number shouldBe 0
+            engine.accept(JOB, job(step(1)), now = 10)
+            engine.decide(10, 0).starts().shouldBeEmpty()
+            engine.state
+                .takeChanges(10)
+                .single()
+                .state shouldBe JobState.COMPLETED
+            engine.seenEnds().single { it.workerId == "w1" }.number shouldBe 1
+        }
+
+        test("an occurrence that an earlier owner saw as due and that is done does not run again when it is due here") {
+            val schedule = JobSpecification("text", listOf(step(1)), repetitions = 2, 0, intervalMillis = 1_000)
+            val engine = secondOwner("w1", "w2")
+            engine.inherit(JOB, JobRecord(QUEUE, TEAM, 0, schedule), progress = null, acceptedAtMillis = 0, now = 0)
+            val second = TaskId(JOB, 1, 0, 0)
+            engine.listed("w1", listing(ended = listOf(end(1, second, EARLIER_RUN, EndKind.DONE))), 0, 5)
+            engine.listed("w2", listing(), 0, 5)
+            val first = engine.decide(5, 0).starts().single()
+            first.order.taskId.occurrence shouldBe 0
+            engine.started(first.address.workerId, first.order, OrderOutcome.Done(1_000), 10)
+            engine.decide(2_000, 2_000).starts().shouldBeEmpty()
+        }
+    })
