Keep a stored roster of the workers that may hold runs, and wait for those that the list lacks

Cause: a new owner waited for the workers on the platform's list only. Entries expire after three silent heartbeats, also while a worker is merely cut off from the store, works on and is renewed by the earlier owner; JobEngine.unlist dropped such a worker, although it had not been heard.

Change: before anything is ordered on a worker, its row with address, life and queues is stored with the owner's next write. A new owner reads the rows, asks these workers as well, and starts inherited jobs when each has answered or every lease has passed. A worker that has not been heard is not dropped because its entry is gone, but after all leases. Rows name queues, so that a queue that was routed to another service meanwhile waits as well.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -1,43 +1,59 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.QueueConfiguration
+
 /** Says whether the runs that earlier owners ordered are known, so that tasks without a run may start. */
 internal class EarlierRuns(
     private val state: EngineState,
 ) {
-    private val knownServices = HashSet<String>()
+    private val knownQueues = HashSet<String>()
 
     /**
-     * Whether the runs of earlier owners on workers of [service] are known: each worker has answered under this epoch,
-     * or every lease that an earlier owner may have sent it has passed.
+     * Whether all runs of earlier owners for [queue] are known: every worker that may hold one has answered under this
+     * epoch, whether it is listed now or was when something was ordered there, or every lease has passed.
      */
     fun areKnown(
-        service: String,
+        queue: QueueConfiguration,
         now: Long,
     ): Boolean {
-        val silent = state.workers.values.filter { it.listed.serviceName == service && !it.isHeard }
-        val areKnown = haveLapsed(now) || state.isListKnown && silent.isEmpty()
-        if (areKnown && knownServices.add(service)) note(service, silent, now)
+        if (queue.name in knownQueues && state.workers.values.none { !it.isHeard }) return true
+        val silent = state.workers.values.filter { !it.isHeard && mayHold(it, queue) }
+        val areKnown = haveLapsed(now) || state.isListKnown && state.isRosterKnown && silent.isEmpty()
+        if (areKnown && knownQueues.add(queue.name)) note(queue, silent, now)
         return areKnown
     }
 
-    private fun haveLapsed(now: Long): Boolean {
+    private fun mayHold(
+        worker: WorkerEntry,
+        queue: QueueConfiguration,
+    ) = worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
+
+    /**
+     * Whether every lease that was sent before [sinceMillis], or within the lease of an owner after it, has passed,
+     * however slow the clock of the worker is.
+     */
+    fun haveLapsed(
+        now: Long,
+        sinceMillis: Long = state.startedAtMillis,
+    ): Boolean {
         val leaseMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK).toLong()
         val boundMillis = state.limits.ownerLeaseMillis + leaseMillis + state.limits.clockMarginMillis
-        return now - state.startedAtMillis > boundMillis
+        return now - sinceMillis > boundMillis
     }
 
     private fun note(
-        service: String,
+        queue: QueueConfiguration,
         silent: List<WorkerEntry>,
         now: Long,
     ) {
-        val heard = state.workers.values.count { it.listed.serviceName == service && it.isHeard }
+        val heard = state.workers.values.filter { it.isHeard && mayHold(it, queue) }
+        val unlisted = heard.filter { !it.isListed }.joinToString { it.id }.ifEmpty { "none" }
         val unheard = silent.joinToString { it.id }.ifEmpty { "none" }
         val tookMillis = now - state.startedAtMillis
         state.note(
             NoteKind.RUNS_KNOWN,
-            service,
-            "epoch ${state.epoch}: $heard workers answered, silent $unheard, after $tookMillis ms",
+            queue.name,
+            "epoch ${state.epoch}: ${heard.size} workers answered, unlisted $unlisted, silent $unheard, after $tookMillis ms",
         )
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -11,6 +11,7 @@
 ) {
     val jobs = HashMap<String, JobEntry>()
     val workers = HashMap<String, WorkerEntry>()
+    val roster = WorkerRoster()
     val quota = QuotaLedger()
     val runTimes = RunTimes()
 
@@ -23,6 +24,9 @@
 
     /** Whether the platform's list of workers was read in this epoch. */
     var isListKnown = false
+
+    /** Whether the stored roster of workers was read whole. */
+    var isRosterKnown = true
     private val actions = ArrayList<EngineAction>()
     private val changes = LinkedHashMap<String, JobChange?>()
     private val endings = HashMap<String, JobChange>()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/GangGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/GangGuard.kt
@@ -5,12 +5,12 @@
     private val state: EngineState,
     private val runs: RunKeeper,
 ) {
-    /** Looks at all gangs of services that [isSettled] calls settled: elsewhere members may not have been heard yet. */
+    /** Looks at all gangs whose [earlierRuns] are known: of others, members may not have been heard yet. */
     fun check(
-        isSettled: (serviceName: String) -> Boolean,
+        earlierRuns: EarlierRuns,
         now: Long,
     ) {
-        state.jobs.values.filter { it.hasGang && isSettled(it.queue.serviceName) }.forEach { job ->
+        state.jobs.values.filter { it.hasGang && earlierRuns.areKnown(it.queue, now) }.forEach { job ->
             job.open.values
                 .flatMap { it.steps }
                 .filter { it.specification.isGang && !it.isDone && it.isBroken() }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.ListedWorker
@@ -8,8 +9,10 @@
 import org.verbenagauge.entry.jobs.ports.Renewal
 import org.verbenagauge.entry.jobs.ports.StartOrder
 import org.verbenagauge.entry.jobs.ports.StartRefusal
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
+import org.verbenagauge.entry.jobs.records.RosterRecord
 
 /**
  * Decides which task runs where, in one epoch of one owner. Takes events with their time and gives back actions; it has
@@ -87,6 +90,9 @@
         runs.stop(run, now)
     }
 
+    /** Whether something has to be stored. */
+    val hasChanges: Boolean get() = state.hasChanges || state.roster.hasChanges
+
     /** Takes in what the platform's list says of a worker. */
     fun list(
         listed: ListedWorker,
@@ -95,9 +101,11 @@
         val known = state.workers[listed.address.workerId]
         if (listed.address.workerId in state.endedWorkers) return
         if (known == null) {
-            state.workers[listed.address.workerId] = WorkerEntry(listed, now)
+            val worker = WorkerEntry(listed, now)
+            state.workers[listed.address.workerId] = worker
             state.act(EngineAction.Watch(listed.address))
             dropEarlierLives(listed, now)
+            recordEarly(worker)
             return
         }
         known.isListed = true
@@ -109,6 +117,43 @@
         }
     }
 
+    // The first task of a queue need not wait for the store then.
+    private fun recordEarly(worker: WorkerEntry) {
+        state.configuration
+            ?.queues
+            ?.filter { it.serviceName == worker.listed.serviceName }
+            ?.forEach { state.roster.mayHold(worker, it.name) }
+    }
+
+    /** Takes in a worker that may hold runs of earlier owners; it is asked although it may not be listed. */
+    fun recall(
+        workerId: String,
+        record: RosterRecord,
+        now: Long,
+    ) {
+        state.roster.recall(workerId, record)
+        val worker = WorkerEntry(recalled(workerId, record), now)
+        worker.isListed = false
+        state.workers[workerId] = worker
+        state.act(EngineAction.Watch(worker.listed.address))
+    }
+
+    // What the roster leaves out is told by the platform's list, without which the worker gets no work.
+    private fun recalled(
+        workerId: String,
+        record: RosterRecord,
+    ) = ListedWorker(
+        address = WorkerAddress(workerId, record.host, record.port),
+        serviceName = record.serviceName,
+        zoneId = "",
+        rack = "",
+        labels = emptySet(),
+        capacity = Amount(),
+        isReady = false,
+        bornUnixMillis = record.bornUnixMillis,
+        machineId = record.machineId,
+    )
+
     // A worker is one life of a machine, so that its runs ended when the next life began.
     private fun dropEarlierLives(
         listed: ListedWorker,
@@ -129,8 +174,10 @@
     ) {
         state.endedWorkers -= workerId
         val worker = state.workers[workerId] ?: return
+        if (worker.isListed) worker.unlistedSinceMillis = now
         worker.isListed = false
-        if (worker.runs.isEmpty()) workers.drop(worker, "it is not listed any more", now)
+        // Until it has answered, it may hold runs of earlier owners.
+        if (worker.isHeard && worker.runs.isEmpty()) workers.drop(worker, "it is not listed any more", now)
     }
 
     /** Takes note that [workerId] was taken down by order: nothing runs there any more. */
@@ -242,7 +289,7 @@
         runs.repeatStops(now)
         stuckGuard.check(now)
         paceGuard.check(now)
-        gangGuard.check({ earlierRuns.areKnown(it, now) }, now)
+        gangGuard.check(earlierRuns, now)
         if (mayStart) scheduler.schedule(now)
         return state.takeActions()
     }
@@ -250,7 +297,8 @@
     // A silent worker is counted on until every lease that it was sent has passed.
     private fun dropLapsed(now: Long) {
         state.workers.values.toList().forEach { worker ->
-            if (!worker.isHeard || !worker.hasSurelyLapsed(now, limits)) return@forEach
+            if (!worker.isHeard) return@forEach dropUnheard(worker, now)
+            if (!worker.hasSurelyLapsed(now, limits)) return@forEach
             worker.runs.values
                 .filter { !worker.isListed || !mayStillBegin(it) }
                 .forEach {
@@ -270,6 +318,14 @@
         }
     }
 
+    private fun dropUnheard(
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        if (worker.isListed || !earlierRuns.haveLapsed(now, worker.unlistedSinceMillis)) return
+        workers.drop(worker, "it is neither listed nor heard, and every lease has passed", now)
+    }
+
     // An order on its way may reach a later life under the same id, whose clock has begun anew.
     private fun mayStillBegin(run: Run) = run.phase == RunPhase.STARTING && run.isUncertain
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -26,13 +26,16 @@
         state.wantedByService.clear()
         jobsByService.forEach { (service, jobs) ->
             val workers = workersByService[service].orEmpty()
-            val isSettled = earlierRuns.areKnown(service, now)
-            val open = jobs.filter { (isSettled || !it.isInherited) && it.hasReadyTask() }
+            val open = jobs.filter { it.hasReadyTask() && (!it.isInherited || earlierRuns.areKnown(it.queue, now)) }
+            val recordedByQueue = HashMap<String, List<WorkerEntry>>()
             order.sorted(open, now).forEach { job ->
+                val queueName = job.queue.name
+                val recorded =
+                    recordedByQueue.getOrPut(queueName) { workers.filter { state.roster.mayHold(it, queueName) } }
                 job.open.values.forEach { occurrence ->
                     occurrence.steps.filter { it.isOpen && !it.isDone }.forEach { step ->
                         val limit = configuration.teams[job.record.teamName]?.limit
-                        StepPass(step, workers, limit, now).run()
+                        StepPass(step, recorded, limit, now).run()
                     }
                 }
             }
@@ -49,10 +52,11 @@
     ) {
         jobs.filter { it.mayRunCopies }.forEach { job ->
             val limit = configuration.teams[job.record.teamName]?.limit
+            val recorded = workers.filter { state.roster.mayHold(it, job.queue.name) }
             job.open.values
                 .flatMap { it.steps }
                 .filter { it.isOpen && !it.isDone && it.specification.mayRunCopies }
-                .forEach { StepPass(it, workers, limit, now).runCopies() }
+                .forEach { StepPass(it, recorded, limit, now).runCopies() }
         }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -15,6 +15,9 @@
     /** Whether the platform's list holds it now. */
     var isListed = true
 
+    /** When it was last found to be missing in the list. */
+    var unlistedSinceMillis = seenAtMillis
+
     /** Whether it has answered under this epoch, so that it refuses orders of earlier owners. */
     var isHeard = false
     var bornUnixMillis = 0L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerKeeper.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerKeeper.kt
@@ -16,5 +16,6 @@
             .toList()
             .forEach { runs.gone(it, reason, now) }
         state.workers.remove(worker.id)
+        state.roster.dropped(worker.id)
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -129,7 +129,7 @@
             val now = clock.monotonicMillis()
             engine.mayStart = writer.isLeaseValid()
             engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
-            if (engine.state.hasChanges) writer.wake()
+            if (engine.hasChanges) writer.wake()
             drivers.values.removeIf { it.isClosed }
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -7,10 +7,12 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.JobChange
 import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.RosterChange
 import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.jobs.records.RosterRecord
 import org.verbenagauge.entry.jobs.records.StateRecord
 
 /** Stores what the engine decided, a batch at a time, and renews the owner's lease with it. */
@@ -52,9 +54,9 @@
     /** Writes until the duty is lost; [onStored] is told the states after each stored write. */
     suspend fun run(onStored: (Map<String, JobState>) -> Unit): ChainOutcome.Lost {
         while (true) {
-            if (!engine.state.hasChanges) withTimeoutOrNull(settings.renewMillis) { signal.receive() }
+            if (!engine.hasChanges) withTimeoutOrNull(settings.renewMillis) { signal.receive() }
             val sinceMillis = clock.monotonicMillis() - chain.confirmedSentAtMillis
-            if (!engine.state.hasChanges && sinceMillis < settings.renewMillis && isLeaseValid()) continue
+            if (!engine.hasChanges && sinceMillis < settings.renewMillis && isLeaseValid()) continue
             val lost = writeOnce(onStored)
             if (lost != null) return lost
             delay(settings.writeGapMillis)
@@ -62,14 +64,16 @@
     }
 
     private suspend fun writeOnce(onStored: (Map<String, JobState>) -> Unit): ChainOutcome.Lost? {
-        val changes = engine.state.takeChanges(MOST_JOBS)
+        val roster = engine.state.roster.takeChanges(MOST_WORKERS)
+        val changes = engine.state.takeChanges(if (roster.isEmpty()) MOST_JOBS else MOST_JOBS_BESIDE_WORKERS)
         val marks = if (engine.state.hasChanges) emptyList() else engine.seenEnds()
         val waiters = flushed
         if (marks.isNotEmpty()) flushed = CompletableDeferred()
         val retired = janitor.takeRetired(MOST_RETIRED).map { RowChange(StoredTables.states, it, null) }
-        chain.begin(changes.flatMap(::rows) + retired, engine.pendingByQueue())
+        chain.begin(roster.map(::row) + changes.flatMap(::rows) + retired, engine.pendingByQueue())
         val lost = settle()
         if (lost != null) return lost
+        engine.state.roster.stored(roster)
         engine.stored(marks)
         changes.filter { it.state.isFinal }.forEach { janitor.ended(it.jobId, clock.wallMillis()) }
         if (marks.isNotEmpty()) waiters.complete(Unit)
@@ -88,6 +92,11 @@
         }
     }
 
+    private fun row(change: RosterChange): RowChange {
+        val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
+        return RowChange(StoredTables.roster, change.workerId, bytes)
+    }
+
     private fun rows(change: JobChange): List<RowChange> {
         val rows = ArrayList<RowChange>()
         val progress = change.progress
@@ -110,6 +119,8 @@
     private companion object {
         // Two rows a job, what is retired and the row of the owner stay below the 100 entries of one transaction.
         const val MOST_JOBS = 40
+        const val MOST_WORKERS = 40
+        const val MOST_JOBS_BESIDE_WORKERS = 20
         const val MOST_RETIRED = 15
         const val WRITE_TIMEOUT_MILLIS = 400L
         const val RETRY_MILLIS = 60L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -17,6 +17,7 @@
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.jobs.records.RosterRecord
 import org.verbenagauge.entry.jobs.records.StateRecord
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
@@ -138,6 +139,7 @@
         val states = readAll(listOf(StoredTables.states)) ?: return null
         val work = readAll(StoredTables.work) ?: return null
         val progress = readAll(listOf(StoredTables.progress)) ?: return null
+        val roster = readAll(listOf(StoredTables.roster)) ?: return null
         states.rows.forEach { row ->
             val jobId = StoredTables.jobOf(row.key) ?: return@forEach
             val record = row.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
@@ -158,7 +160,17 @@
             newEngine.inherit(jobId, record, known, now - ageMillis, now)
         }
         work.rows.mapNotNull { StoredTables.cancelledOf(it.key) }.forEach { newEngine.cancel(it, now) }
-        log.write(Event.JOBS_INHERITED, "${work.rows.size} rows of work, ${progress.rows.size} of progress")
+        roster.rows.forEach { row ->
+            val record = row.value?.let { RecordCodec.decode(RosterRecord.serializer(), it) }
+            if (record != null) {
+                newEngine.recall(row.key, record, now)
+            } else {
+                newEngine.state.isRosterKnown = false
+                log.write(Event.DOCUMENT_UNREADABLE, row.key, "a worker of the roster; its leases are waited for")
+            }
+        }
+        val counts = "${work.rows.size} rows of work, ${progress.rows.size} of progress, ${roster.rows.size} of workers"
+        log.write(Event.JOBS_INHERITED, counts)
         return work.version
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
@@ -10,6 +10,9 @@
     /** States of jobs for all entries, and the row of the owner. */
     val states = RowPlace("states", OWNER_PARTITION)
 
+    /** Workers that may hold runs, for the next owner. */
+    val roster = RowPlace("roster", OWNER_PARTITION)
+
     /** All places of accepted jobs and cancellations. */
     val work: List<RowPlace> = List(WORK_PARTITIONS) { RowPlace(WORK_TABLE, "w$it") }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -70,6 +70,26 @@
     val writtenUnixMillis: Long = 0,
 )
 
+/**
+ * A worker that may hold runs, stored before anything is ordered there.
+ *
+ * @property serviceName pool.
+ * @property host IP number of its address.
+ * @property port TCP port of its address.
+ * @property bornUnixMillis start of its life; 0 when not told.
+ * @property machineId machine on which it runs; empty when not told.
+ * @property queueNames queues whose tasks may have been ordered there.
+ */
+@Serializable
+public data class RosterRecord(
+    val serviceName: String,
+    val host: String,
+    val port: Int,
+    val bornUnixMillis: Long,
+    val machineId: String,
+    val queueNames: Set<String>,
+)
+
 /** Codec of stored records. */
 @OptIn(ExperimentalSerializationApi::class)
 public object RecordCodec {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -114,8 +114,22 @@
     engine.configure(configuration(limit))
     engine.state.isListKnown = true
     workerIds.forEach {
-        engine.list(worker(it), now = 0)
+        engine.listRecorded(worker(it), now = 0)
         engine.listed(it, listing(), sentAtMillis = 0, now = 0)
     }
     return engine
 }
+
+/** Lists [worker] and stores that it may hold runs. */
+internal fun JobEngine.listRecorded(
+    worker: ListedWorker,
+    now: Long,
+) {
+    list(worker, now)
+    storeRoster()
+}
+
+/** Stores which workers may hold runs, as the owner does before anything is ordered there. */
+internal fun JobEngine.storeRoster() {
+    state.roster.stored(state.roster.takeChanges(Int.MAX_VALUE))
+}
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -122,7 +122,7 @@
             val engine = readyEngine("w1")
             engine.accept(JOB, job(step(5, isGang = true)), now = 0)
             engine.decide(0, 0).starts().shouldBeEmpty()
-            engine.list(worker("w2"), now = 10)
+            engine.listRecorded(worker("w2"), now = 10)
             engine.listed("w2", listing(), 10, 10)
             val starts = engine.decide(10, 0).starts()
             starts shouldHaveSize 5
@@ -198,7 +198,7 @@
 
         test("a task runs only where the label that it needs is, and near its data when it can") {
             val engine = readyEngine("w1")
-            engine.list(worker("w2").copy(labels = setOf("gpu"), rack = "r2-1"), now = 0)
+            engine.listRecorded(worker("w2").copy(labels = setOf("gpu"), rack = "r2-1"), now = 0)
             engine.listed("w2", listing(), sentAtMillis = 0, now = 0)
             engine.accept(JOB, job(step(1).copy(requiredLabel = "gpu"), step(1).copy(dataRack = "r2-1")), now = 0)
             engine.decide(0, 0).starts().map { it.address.workerId } shouldBe listOf("w2", "w2")
@@ -272,7 +272,7 @@
             engine.configure(configuration())
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
             engine.decide(0, 0).starts().shouldBeEmpty()
-            engine.list(worker("w1"), now = 5)
+            engine.listRecorded(worker("w1"), now = 5)
             engine.state.isListKnown = true
             engine.decide(5, 0).starts().shouldBeEmpty()
             engine.listed("w1", listing(running = listOf(running(task(0), 7))), 6, 7)
@@ -283,7 +283,7 @@
             val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
             engine.configure(configuration())
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
-            engine.list(worker("w1"), now = 5)
+            engine.listRecorded(worker("w1"), now = 5)
             engine.listed("w1", listing(), 6, 7)
             engine.decide(8, 0).starts().shouldBeEmpty()
             engine.state.isListKnown = true
@@ -294,8 +294,8 @@
             val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
             engine.configure(configuration())
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
-            engine.list(worker("w1"), now = 0)
-            engine.list(worker("silent"), now = 0)
+            engine.listRecorded(worker("w1"), now = 0)
+            engine.listRecorded(worker("silent"), now = 0)
             engine.state.isListKnown = true
             engine.listed("w1", listing(), 1, 2)
             engine.decide(7_800, 0).starts().shouldBeEmpty()
@@ -326,7 +326,7 @@
             engine.accept(JOB, job(step(1)), now = 0)
             val start = engine.decide(0, 0).starts().single()
             engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
-            engine.list(worker("w2"), now = 20)
+            engine.listRecorded(worker("w2"), now = 20)
             engine.listed("w2", listing(), 20, 20)
             engine.listed("w1", ListingOutcome.Failed("silent"), 30, 600)
             engine.decide(6_200, 0).starts().shouldBeEmpty()
@@ -343,7 +343,7 @@
             val start = engine.decide(0, 0).starts().single()
             engine.started("w1", start.order, OrderOutcome.Unanswered("lost"), now = 500)
             engine.listed("w1", ListingOutcome.Failed("silent"), 30, 600)
-            engine.list(worker("w2"), now = 600)
+            engine.listRecorded(worker("w2"), now = 600)
             engine.listed("w2", listing(), 600, 600)
             engine.decide(7_000, 0).starts().map { it.address.workerId } shouldBe listOf("w1")
             engine.unlist("w1", now = 7_100)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -6,6 +6,7 @@
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
+import org.verbenagauge.entry.jobs.records.RosterRecord
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -43,6 +44,7 @@
     private val storedJobs = LinkedHashMap<String, JobRecord>()
     private val storedProgress = HashMap<String, ProgressRecord>()
     private val storedCancels = LinkedHashSet<String>()
+    private val storedRoster = LinkedHashMap<String, RosterRecord>()
     val states = HashMap<String, JobState>()
 
     private var epoch = 0L
@@ -159,17 +161,29 @@
             }
         }
         storedCancels.forEach { next.cancel(it, now) }
+        storedRoster.forEach { (id, record) -> next.recall(id, record, now) }
         at(random.nextLong(1, 200)) { listWorkers(next) }
         at(0) { tick(next) }
         at(0) { write(next) }
     }
 
     private fun listWorkers(owner: JobEngine) {
-        workers.values.forEach { owner.list(worker(it.id, WORKER_CPU_MILLIS).copy(bornUnixMillis = 0), now) }
+        workers.values.forEach { worker ->
+            // The entry of a worker that runs on may have expired; it comes back within two seconds.
+            val isExpired = hasTrouble && random.nextInt(EXPIRED_ONE_IN) == 0
+            if (isExpired) at(random.nextLong(2_000)) { list(owner, worker) } else list(owner, worker)
+        }
         owner.state.isListKnown = true
         workers.values.forEach { renew(owner, it, isProven = false) }
     }
 
+    private fun list(
+        owner: JobEngine,
+        listed: VirtualWorker,
+    ) {
+        if (owner === engine) owner.list(worker(listed.id, WORKER_CPU_MILLIS).copy(bornUnixMillis = 0), now)
+    }
+
     private fun tick(owner: JobEngine) {
         if (owner !== engine) return
         owner.decide(now, 0).forEach { execute(owner, it) }
@@ -267,8 +281,13 @@
         if (owner !== engine) return
         val changes = owner.state.takeChanges(1_000)
         val marks = owner.seenEnds()
+        val roster = owner.state.roster.takeChanges(1_000)
         at(random.nextLong(3, 200)) {
             if (owner === engine) {
+                roster.forEach { (id, record) ->
+                    if (record == null) storedRoster.remove(id) else storedRoster[id] = record
+                }
+                owner.state.roster.stored(roster)
                 changes.forEach { change ->
                     states[change.jobId] = change.state
                     change.progress?.let { storedProgress[change.jobId] = it }
@@ -285,6 +304,7 @@
 
     private companion object {
         const val JOBS = 30
+        const val EXPIRED_ONE_IN = 4
         const val TAKEOVERS = 4
         const val CRASHES = 4
         const val SILENCES = 5
