Keep runs and ends of jobs that are not read yet, and let jobs wait that an earlier owner may have started

Cause: the earlier owner orders until its lease has passed, and a takeover by stopped beats comes before that. Jobs that the new owner read from the feed started at once; a run of such a job was stopped as unknown while the task started elsewhere; an end was passed by and acknowledged, so that it was lost for good. The same for an occurrence that only the earlier owner, with its clock ahead, had seen as due. Change: jobs wait for the workers as inherited ones do until all that were accepted within the earlier owner's lease are read. Runs of unread jobs take room and are attached when the job is read; their ends are kept and hold the acknowledgement back. Both are let go when the feed has answered a call that was sent after the listing. A listed run or end opens its occurrence.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -13,6 +13,10 @@
     val workers = HashMap<String, WorkerEntry>()
     val roster = WorkerRoster()
     val quota = QuotaLedger()
+    val unreadEnds = UnreadEnds()
+
+    /** Every job that was accepted before this time has been read. */
+    var workReadAsOfMillis = startedAtMillis
     val runTimes = RunTimes()
 
     /** What waits for room on workers of each service and for nothing else, as of the last decision. */
@@ -85,6 +89,9 @@
         if (earlyCancellations.size > REMEMBERED_ENDS) earlyCancellations.remove(earlyCancellations.first())
     }
 
+    /** Whether the job [id] may have been accepted and is not read yet. */
+    fun isUnread(id: String): Boolean = id !in jobs && !hasEnded(id)
+
     /** Whether the job [id] ended in this epoch. */
     fun hasEnded(id: String): Boolean = id in endedIds
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -184,6 +184,9 @@
     var stopOrderedAtMillis = 0L
     var stopConfirmedAtMillis = 0L
 
+    /** Whether its job is not read yet; such a run is neither counted for a task nor stopped. */
+    var isUnread = false
+
     /** Whether a copy of the order to start got no answer, so that it may be carried out late. */
     var isUncertain = false
     var percent = 0
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -65,15 +65,25 @@
         now: Long,
     ) {
         registry.accept(id, record, acceptedAtMillis, progress, isInherited = true, now = now)
+        listings.jobRead(id, now)
     }
 
-    /** Takes in a job that was accepted in this epoch. */
+    /** Takes in a job that was not read when the epoch began. */
     fun accept(
         id: String,
         record: JobRecord,
         now: Long,
     ) {
-        registry.accept(id, record, now, progress = null, isInherited = false, now = now)
+        // The earlier owner may have read it as well, and orders until its lease has passed.
+        val mayHaveRuns = state.workReadAsOfMillis <= state.startedAtMillis + limits.ownerLeaseMillis
+        registry.accept(id, record, now, progress = null, isInherited = mayHaveRuns, now = now)
+        listings.jobRead(id, now)
+    }
+
+    /** Takes note that every job that was accepted before [asOfMillis] has been read. */
+    fun workRead(asOfMillis: Long) {
+        state.workReadAsOfMillis = maxOf(state.workReadAsOfMillis, asOfMillis)
+        state.unreadEnds.release(state.workReadAsOfMillis)
     }
 
     /** Cancels the job [id]; false when it has ended or is not known. */
@@ -276,8 +286,11 @@
         }
     }
 
-    /** Returns the ends that were taken in, by worker. */
-    fun seenEnds(): List<EndMark> = state.workers.values.map { EndMark(it.id, it.bornUnixMillis, it.seenEnd) }
+    /** Returns the ends that were taken in and may be acknowledged once they are stored, by worker. */
+    fun seenEnds(): List<EndMark> =
+        state.workers.values.map {
+            EndMark(it.id, it.bornUnixMillis, state.unreadEnds.acknowledgeable(it, it.seenEnd))
+        }
 
     /** Decides what to do now; [unixMillis] is the time of day, for scheduled jobs only. */
     fun decide(
@@ -286,6 +299,7 @@
     ): List<EngineAction> {
         registry.openDue(unixMillis, now)
         dropLapsed(now)
+        listings.stopUnwanted(now)
         runs.repeatStops(now)
         stuckGuard.check(now)
         paceGuard.check(now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.StepSpecification
+import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.EndKind
 import org.verbenagauge.entry.jobs.ports.ListedEnd
 import org.verbenagauge.entry.jobs.ports.ListedRun
@@ -66,7 +67,8 @@
     ) {
         val id = end.taskId ?: return
         val run = worker.runs[id]?.takeIf { it.runId <= end.runId }
-        val task = runs.taskOf(id)
+        if (state.isUnread(id.jobId)) state.unreadEnds.keep(UnreadEnd(worker.id, worker.bornUnixMillis, end, now))
+        val task = taskOf(id, now)
         if (end.kind != EndKind.DONE) {
             state.note(NoteKind.RUN_ENDED, id.toString(), "run ${end.runId} on ${worker.id}: ${end.kind}")
         }
@@ -95,6 +97,61 @@
         }
     }
 
+    // An earlier owner may have seen an occurrence as due before its time has come by the clock of this machine.
+    private fun taskOf(
+        id: TaskId,
+        now: Long,
+    ): TaskEntry? {
+        val job = state.jobs[id.jobId] ?: return null
+        if (id.occurrence in 0 until job.specification.occurrenceCount) registry.open(job, id.occurrence, now)
+        return job.task(id)
+    }
+
+    /** Applies what workers have listed of the job [jobId] before it was read. */
+    fun jobRead(
+        jobId: String,
+        now: Long,
+    ) {
+        state.workers.values.forEach { worker ->
+            worker.runs.values
+                .filter { it.taskId.jobId == jobId && it.isUnread }
+                .forEach { attach(it, worker, now) }
+        }
+        state.unreadEnds.take(jobId).forEach { unread ->
+            state.workers[unread.workerId]?.let { ended(it, unread.end, now) }
+        }
+    }
+
+    private fun attach(
+        found: Run,
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        val task = taskOf(found.taskId, now)
+        if (task == null) {
+            found.isUnread = false
+            runs.stop(found, now)
+            return
+        }
+        runs.forget(found, worker)
+        val listed = ListedRun(found.taskId, found.runId, checkpoint = "", found.percent, found.figure)
+        adopt(worker, listed, now)
+    }
+
+    /** Stops runs of jobs that were not read although all jobs that may have been started are. */
+    fun stopUnwanted(now: Long) {
+        state.workers.values.forEach { worker ->
+            worker.runs.values
+                .filter {
+                    it.isUnread &&
+                        (!state.isUnread(it.taskId.jobId) || it.orderedAtMillis < state.workReadAsOfMillis)
+                }.forEach {
+                    it.isUnread = false
+                    runs.stop(it, now)
+                }
+        }
+    }
+
     private fun noteDoubled(
         task: TaskEntry,
         end: ListedEnd,
@@ -174,7 +231,7 @@
         listed: ListedRun,
         now: Long,
     ) {
-        val task = runs.taskOf(listed.taskId)
+        val task = taskOf(listed.taskId, now)
         val specification = task?.step?.specification ?: UNKNOWN_STEP
         val team =
             task
@@ -189,7 +246,8 @@
         runs.add(run, task.takeIf { isWanted }, worker)
         update(run, listed, now)
         noteFound(run, task, isWanted)
-        if (!isWanted) runs.stop(run, now)
+        run.isUnread = state.isUnread(listed.taskId.jobId)
+        if (!isWanted && !run.isUnread) runs.stop(run, now)
     }
 
     private fun noteFound(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunKeeper.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunKeeper.kt
@@ -60,6 +60,15 @@
         }
     }
 
+    /** Counts [run] on [worker] no longer, as it is taken in anew with what is known of its job now. */
+    fun forget(
+        run: Run,
+        worker: WorkerEntry,
+    ) {
+        worker.remove(run)
+        state.quota.remove(run)
+    }
+
     /** Orders [run] to stop; repeated until it is gone. */
     fun stop(
         run: Run,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
@@ -18,9 +18,20 @@
 ) {
     private val follower = TableFollower(store, StoredTables.work, FEED_WAIT_MILLIS, pauseMillis = 0)
 
+    private var callSinceMillis = clock.monotonicMillis()
+    private var takenAsOfMillis = callSinceMillis
+
     /** Runs until cancelled. */
     suspend fun run() {
-        follower.run(onAll = ::take, onChanges = ::take, readVersion = readVersion)
+        follower.run(onAll = ::take, onChanges = ::take, onContact = ::contact, readVersion = readVersion)
+    }
+
+    // Told before the rows of an answer are: those of the answer before are taken in. An answer holds all that was
+    // stored before its call, which was sent after the call before had ended.
+    private fun contact(isAnswered: Boolean) {
+        engine.workRead(takenAsOfMillis)
+        if (isAnswered) takenAsOfMillis = callSinceMillis
+        callSinceMillis = clock.monotonicMillis()
     }
 
     private fun take(batch: RowBatch) {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.model.JobSpecification
 import org.verbenagauge.entry.jobs.model.JobState
@@ -19,7 +20,7 @@
     val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
     engine.configure(configuration())
     engine.state.isListKnown = true
-    workerIds.forEach { engine.list(worker(it), now = 0) }
+    workerIds.forEach { engine.listRecorded(worker(it), now = 0) }
     return engine
 }
 
@@ -74,6 +75,23 @@
             engine.seenEnds().single { it.workerId == "w1" }.number shouldBe 1
         }
 
+        test("an end of a job that nobody handed in is acknowledged once all accepted jobs are read") {
+            val engine = secondOwner("w1")
+            engine.listed("w1", listing(ended = listOf(end(1, task, EARLIER_RUN, EndKind.DONE))), 0, 5)
+            engine.workRead(asOfMillis = 4)
+            engine.seenEnds().single().number shouldBe 0
+            engine.workRead(asOfMillis = 6)
+            engine.seenEnds().single().number shouldBe 1
+        }
+
+        test("a run of a job that nobody handed in is stopped once all accepted jobs are read") {
+            val engine = secondOwner("w1")
+            engine.listed("w1", listing(running = listOf(running(task, EARLIER_RUN))), 0, 5)
+            engine.decide(5, 0).stops().shouldBeEmpty()
+            engine.workRead(asOfMillis = 6)
+            engine.decide(10, 0).stops() shouldHaveSize 1
+        }
+
         test("an occurrence that an earlier owner saw as due and that is done does not run again when it is due here") {
             val schedule = JobSpecification("text", listOf(step(1)), repetitions = 2, 0, intervalMillis = 1_000)
             val engine = secondOwner("w1", "w2")
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -282,8 +282,10 @@
         val changes = owner.state.takeChanges(1_000)
         val marks = owner.seenEnds()
         val roster = owner.state.roster.takeChanges(1_000)
+        val readMillis = now
         at(random.nextLong(3, 200)) {
             if (owner === engine) {
+                owner.workRead(readMillis)
                 roster.forEach { (id, record) ->
                     if (record == null) storedRoster.remove(id) else storedRoster[id] = record
                 }
