Look at the owner's lease again right before an order is sent

What callers would see: a task runs twice after its owner stood still. Cause: the lease and a suspension were looked at when the engine decided; starts are sent by coroutines of their own, and repeats were sent without a look. A process that stood still between the two sent orders of a lease that had passed to another entry; only workers that the new owner had already heard refuse them. Change: OwnerWriter.isLeaseValid notices a suspension itself and is asked before each start and stop; a start that is not sent counts as never sent, so that its task is placed again when the lease holds.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -55,7 +55,6 @@
     private val drivers = HashMap<String, WorkerDriver>()
     private val ended = CompletableDeferred<String>()
     private val writer = OwnerWriter(chain, engine, clock, settings, janitor)
-    private val suspension = SuspensionDetector(clock)
     private var releaseRequested = false
 
     /** Ends the term after the duty was given up in the store. */
@@ -125,7 +124,6 @@
     private suspend fun decideLoop(scope: CoroutineScope) {
         while (true) {
             withTimeoutOrNull(TICK_MILLIS) { signal.receive() }
-            if (suspension.hasBeenSuspended()) writer.doubt()
             val now = clock.monotonicMillis()
             engine.mayStart = writer.isLeaseValid()
             engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
@@ -151,7 +149,8 @@
 
     private suspend fun start(action: EngineAction.Start) {
         val sentAtMillis = clock.monotonicMillis()
-        val outcome = ports.workers.start(action.address, action.order)
+        val outcome =
+            if (writer.isLeaseValid()) ports.workers.start(action.address, action.order) else leaseInDoubt
         if (outcome is OrderOutcome.Unanswered || outcome is OrderOutcome.NotSent) delay(ORDER_RETRY_MILLIS)
         val workerId = action.address.workerId
         val isOwner = engine.started(workerId, action.order, outcome, clock.monotonicMillis(), sentAtMillis)
@@ -161,6 +160,7 @@
 
     private suspend fun stop(action: EngineAction.Stop) {
         val epoch = engine.state.epoch
+        if (!writer.isLeaseValid()) return
         val outcome = ports.workers.stop(action.address, action.taskId, action.runId, epoch)
         val now = clock.monotonicMillis()
         val workerId = action.address.workerId
@@ -204,6 +204,7 @@
     }
 
     private companion object {
+        val leaseInDoubt = OrderOutcome.NotSent("the lease of the owner is in doubt")
         const val TICK_MILLIS = 100L
         const val ORDER_RETRY_MILLIS = 80L
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -27,15 +27,21 @@
     private val shownStates = HashMap<String, String>()
     private var flushed = CompletableDeferred<Unit>()
 
+    private val suspension = SuspensionDetector(clock)
     private var doubtedAtMillis = Long.MIN_VALUE
 
-    /** Whether the owner may order runs: its lease cannot have passed to another entry. */
-    fun isLeaseValid(): Boolean =
-        chain.confirmedSentAtMillis > doubtedAtMillis &&
+    /**
+     * Whether the owner may order now: its lease cannot have passed to another entry. Asked right before each order is
+     * sent, since the process may have stood still after the decision.
+     */
+    fun isLeaseValid(): Boolean {
+        if (suspension.hasBeenSuspended()) doubt()
+        return chain.confirmedSentAtMillis > doubtedAtMillis &&
             clock.monotonicMillis() - chain.confirmedSentAtMillis < settings.leaseMillis
+    }
 
-    /** Takes note that time may have passed unseen: the lease counts again after the next stored write. */
-    fun doubt() {
+    // Time may have passed unseen: the lease counts again after the next stored write.
+    private fun doubt() {
         doubtedAtMillis = clock.monotonicMillis()
         wake()
     }
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OrderAfterPauseTest.kt
@@ -0,0 +1,178 @@
+package org.verbenagauge.entry.jobs.owner
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.MemoryRowStore
+import org.verbenagauge.entry.jobs.StoreFault
+import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.configuration
+import org.verbenagauge.entry.jobs.engine.job
+import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.step
+import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.ListedWorker
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.Renewal
+import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowFeed
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StartOrder
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
+import org.verbenagauge.entry.jobs.ports.WorkerGateway
+import org.verbenagauge.entry.jobs.ports.WorkerList
+import org.verbenagauge.entry.jobs.ports.WorkerListings
+import org.verbenagauge.entry.jobs.records.OwnerRecord
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+
+private const val JOB = "0000000000000001"
+
+/** A clock of a process that can stand still: its steady clock then goes on, or leaves the time out. */
+private class PausingClock(
+    private val nowMillis: () -> Long,
+) : Clock {
+    var steadyOffsetMillis = 1_000L
+    var wallOffsetMillis = 1_000L
+
+    override fun monotonicMillis(): Long = nowMillis() + steadyOffsetMillis
+
+    override fun wallMillis(): Long = nowMillis() + wallOffsetMillis
+}
+
+/** A store whose feeds tell nothing. */
+private class QuietStore(
+    val rows: MemoryRowStore,
+) : RowStore by rows {
+    override fun feed(table: String): RowFeed =
+        object : RowFeed {
+            override suspend fun changesAfter(
+                version: Long,
+                waitMillis: Long,
+            ): ReadResult<RowBatch> {
+                delay(waitMillis)
+                return ReadResult.Read(RowBatch(emptyList(), version))
+            }
+
+            override fun close() = Unit
+        }
+}
+
+private class CountingWorkers :
+    WorkerGateway,
+    WorkerList {
+    val starts = ArrayList<StartOrder>()
+
+    override suspend fun follow(
+        onAll: (List<ListedWorker>) -> Unit,
+        onChange: (workerId: String, worker: ListedWorker?) -> Unit,
+    ) {
+        onAll(listOf(worker("w1")))
+        awaitCancellation()
+    }
+
+    override fun listings(address: WorkerAddress): WorkerListings =
+        object : WorkerListings {
+            override val isProven = true
+
+            override suspend fun list(renewal: Renewal): ListingOutcome {
+                delay(renewal.waitMillis)
+                return listing()
+            }
+
+            override fun close() = Unit
+        }
+
+    override suspend fun start(
+        address: WorkerAddress,
+        order: StartOrder,
+    ): OrderOutcome {
+        starts += order
+        return OrderOutcome.Done(1_000)
+    }
+
+    override suspend fun stop(
+        address: WorkerAddress,
+        taskId: TaskId,
+        runId: Long,
+        fencingToken: Long,
+    ): OrderOutcome = OrderOutcome.Done(1_000)
+
+    override suspend fun pace(
+        address: WorkerAddress,
+        taskId: TaskId,
+        runId: Long,
+        percentage: Int,
+        fencingToken: Long,
+    ): OrderOutcome = OrderOutcome.Done(1_000)
+}
+
+private data class PauseCase(
+    val name: String,
+    val steadyMillis: Long,
+    val wallMillis: Long,
+    val starts: Int,
+)
+
+/** Plays one owner's term whose process stands still, as [case] tells, right after it has decided on a start. */
+@OptIn(ExperimentalCoroutinesApi::class)
+private suspend fun TestScope.playTerm(case: PauseCase): CountingWorkers {
+    val clock = PausingClock { testScheduler.currentTime }
+    val store = QuietStore(MemoryRowStore())
+    val record = OwnerRecord("a", epoch = 1, sequence = 0)
+    val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(record))
+    store.transact(emptyList(), listOf(row), 100)
+    val chain = OwnerChain(store, clock, record, version = 1, clock.monotonicMillis())
+    val engine = JobEngine(epoch = 1, EngineLimits(), clock.monotonicMillis())
+    engine.configure(configuration())
+    engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = clock.monotonicMillis())
+    val log =
+        EventLog("a") { event ->
+            if (event == Event.RUN_ORDERED) {
+                clock.steadyOffsetMillis += case.steadyMillis
+                clock.wallOffsetMillis += case.wallMillis
+                repeat(REFUSED_WRITES) { store.rows.faults += StoreFault.REFUSED }
+            }
+        }
+    val workers = CountingWorkers()
+    val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
+    val janitor = Janitor(store, clock)
+    val term = OwnerTerm(ports, chain, engine, janitor, workVersion = 1, clock, OwnerSettings(), log, news = null)
+    val running = backgroundScope.launch { term.run() }
+    advanceTimeBy(1_000)
+    running.cancel()
+    return workers
+}
+
+// Longer than the play.
+private const val REFUSED_WRITES = 1_000
+
+// Incident 003: the lease was looked at when a start was decided on, not when it was sent.
+class OrderAfterPauseTest :
+    FunSpec({
+        context("a start that was decided on before the process stood still") {
+            withData(
+                nameFn = { it.name },
+                PauseCase("for an instant is sent", steadyMillis = 10, wallMillis = 10, starts = 1),
+                PauseCase("for longer than the owner's lease is not sent", 2_000, 2_000, starts = 0),
+                PauseCase("while its steady clock stood still as well is not sent", 0, 3_000, starts = 0),
+            ) { case ->
+                runTest {
+                    playTerm(case).starts.size shouldBe case.starts
+                }
+            }
+        }
+    })
