Keep the row of a worker that is back before its row was removed, and tell in the owner's row that a roster is kept

And the owner of a release without a roster leaves no rows, which looked like workers without runs. Change: the removal is taken back when the worker is asked about again. The owner's row says that a roster is kept; after one that does not, inherited jobs wait for all leases.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -39,11 +39,17 @@
         worker: WorkerEntry,
         queueName: String,
     ): Boolean {
-        val known = stored[worker.id]
+        val known = stored[worker.id].takeIf { worker.id !in changes }
         if (known != null && queueName in known.queueNames && isOf(known, worker.listed)) return true
         val record = recordOf(worker, queuesOf(worker.id) + queueName)
-        if (newest(worker.id) != record) changes[worker.id] = record
-        return false
+        val isStored = stored[worker.id] == record && worker.id !in underway
+        // A worker that is back before its removal was written keeps its row.
+        if (isStored) {
+            changes.remove(worker.id)
+        } else if (newest(worker.id) != record) {
+            changes[worker.id] = record
+        }
+        return isStored
     }
 
     private fun isOf(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -89,7 +89,8 @@
         current: JobsConfiguration,
     ) {
         val epoch = (seen.record?.epoch ?: 0) + 1
-        val record = OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis())
+        val record =
+            OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis(), keepsRoster = true)
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
             ports.store.transact(
@@ -106,6 +107,7 @@
         val chain = OwnerChain(ports.store, clock, record, outcome.version, sentAtMillis)
         val newEngine = JobEngine(record.epoch, limits(), clock.monotonicMillis())
         newEngine.configure(current)
+        newEngine.state.isRosterKnown = seen.record?.keepsRoster ?: true
         val janitor = Janitor(ports.store, clock)
         val workVersion = inherit(newEngine, janitor) ?: return
         serve(chain, newEngine, janitor, workVersion)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -60,6 +60,7 @@
  * @property sequence rises with every write of the owner.
  * @property pendingByQueue accepted jobs of each queue without a started task.
  * @property writtenUnixMillis when the owner wrote this, by its time of day; 0 when not told.
+ * @property keepsRoster whether every worker that may hold runs has a row; releases before the roster did not tell.
  */
 @Serializable
 public data class OwnerRecord(
@@ -68,6 +69,7 @@
     val sequence: Long,
     val pendingByQueue: Map<String, Int> = emptyMap(),
     val writtenUnixMillis: Long = 0,
+    val keepsRoster: Boolean = false,
 )
 
 /**
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRosterTest.kt
@@ -0,0 +1,95 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.records.RosterRecord
+
+private const val OTHER_QUEUE = "reports"
+private val entry = WorkerEntry(worker("w1"), seenAtMillis = 0)
+
+/** What the store holds, next to the roster that writes there. */
+private class StoredRoster {
+    val roster = WorkerRoster()
+    val rows = HashMap<String, RosterRecord>()
+    private var underway = emptyList<RosterChange>()
+
+    fun send() {
+        underway = roster.takeChanges(Int.MAX_VALUE)
+    }
+
+    fun confirm() {
+        underway.forEach { (id, record) -> if (record == null) rows.remove(id) else rows[id] = record }
+        roster.stored(underway)
+    }
+
+    fun write() {
+        send()
+        confirm()
+    }
+}
+
+private data class RosterCase(
+    val name: String,
+    val play: (StoredRoster) -> Unit,
+)
+
+class WorkerRosterTest :
+    FunSpec({
+        context("a worker may hold tasks of a queue only while its row says so, and goes on saying so") {
+            withData(
+                nameFn = { it.name },
+                RosterCase("a new worker") { },
+                RosterCase("a row that is on its way") { it.roster.mayHold(entry, QUEUE).also { _ -> it.send() } },
+                RosterCase("a row of another queue") {
+                    it.roster.mayHold(entry, OTHER_QUEUE)
+                    it.write()
+                },
+                RosterCase("a worker that was dropped and is back before its row is removed") {
+                    it.roster.mayHold(entry, QUEUE)
+                    it.write()
+                    it.roster.dropped("w1")
+                },
+                RosterCase("a worker that is back while its row is being removed") {
+                    it.roster.mayHold(entry, QUEUE)
+                    it.write()
+                    it.roster.dropped("w1")
+                    it.send()
+                },
+                RosterCase("a worker that was dropped while its row was on its way") {
+                    it.roster.mayHold(entry, QUEUE)
+                    it.send()
+                    it.roster.dropped("w1")
+                    it.confirm()
+                },
+                RosterCase("a worker at another address") {
+                    val elsewhere = worker("w1").copy(address = worker("w1").address.copy(port = 2))
+                    it.roster.mayHold(WorkerEntry(elsewhere, 0), QUEUE)
+                    it.write()
+                },
+            ) { case ->
+                val stored = StoredRoster()
+                case.play(stored)
+                repeat(3) {
+                    val mayHold = stored.roster.mayHold(entry, QUEUE)
+                    if (mayHold) stored.write()
+                    val row = stored.rows["w1"]
+                    if (mayHold) row?.queueNames?.contains(QUEUE) shouldBe true
+                    if (mayHold) row?.port shouldBe 1
+                    stored.confirm()
+                    stored.write()
+                }
+                stored.roster.mayHold(entry, QUEUE) shouldBe true
+            }
+        }
+
+        test("the row of a worker that is gone is removed") {
+            val stored = StoredRoster()
+            stored.roster.mayHold(entry, QUEUE)
+            stored.write()
+            stored.roster.dropped("w1")
+            stored.write()
+            stored.rows shouldBe emptyMap()
+            stored.roster.hasChanges shouldBe false
+        }
+    })
