Count no worker as gone with its machine while it answers

What callers would see: tasks run twice when the platform lists a machine as failed that works on. Change: the worker has to be silent as well. Evidence: LostMachineTest, one of three cases red before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -44,13 +44,13 @@
             }
         }
 
-    // What runs on a machine that has failed is gone; waiting for its leases would only delay its tasks.
+    // What runs on a machine that has failed is gone; waiting for its leases would only delay its tasks. A worker that
+    // answers is not on such a machine, whatever the list says.
     private fun dropLost() {
         board.machines.filter { it.isLost }.mapNotNull { it.workerId }.forEach { workerId ->
-            val worker = engine.state.workers[workerId]
-            if (worker != null && worker.lastAnswerMillis < board.readAtMillis) {
-                engine.ended(workerId, clock.monotonicMillis())
-            }
+            val worker = engine.state.workers[workerId] ?: return@forEach
+            val isSilent = worker.firstFailureMillis != null && worker.lastAnswerMillis < board.readAtMillis
+            if (isSilent) engine.ended(workerId, clock.monotonicMillis())
         }
     }
 
