--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -38,8 +38,7 @@
         do {
             val query = token?.let { "?PageToken=${it.encodeURLParameter()}" }.orEmpty()
             val outcome = pool.exchange(HttpCall("GET", "/v1/machines$query"), TIMEOUT_MILLIS)
-            if (outcome !is HttpOutcome.Answered || outcome.status != OK) return null
-            val page = decode(WireMachines.serializer(), outcome.body) ?: return null
+            val page = (outcome as? HttpOutcome.Answered)?.let(::readMachinePage) ?: return null
             page.machines.mapTo(machines, ::machine)
             token = page.nextToken
         } while (!token.isNullOrEmpty())
@@ -82,26 +81,31 @@
             )
         val body = wireJson.encodeToString(serializer, wire).encodeToByteArray()
         return when (val outcome = pool.exchange(HttpCall("POST", path, headers, body), TIMEOUT_MILLIS)) {
-            is HttpOutcome.Answered -> answered(outcome)
+            is HttpOutcome.Answered -> readMachineAnswer(outcome)
             is HttpOutcome.NotSent -> MachineOutcome.TryLater
             is HttpOutcome.Unanswered -> MachineOutcome.Unanswered(outcome.cause)
         }
     }
+}
 
-    private fun answered(answer: HttpOutcome.Answered): MachineOutcome =
-        when (answer.status) {
-            OK -> MachineOutcome.Done
-            CONFLICT ->
-                when (val reason = decode(WireOrderAnswer.serializer(), answer.body)?.reason) {
-                    "fence" -> MachineOutcome.Fenced
-                    "busy" -> MachineOutcome.Busy
-                    else -> MachineOutcome.Rejected("$reason")
-                }
+/** Reads a page of the list of machines; null when it is none. */
+internal fun readMachinePage(answer: HttpOutcome.Answered): WireMachines? =
+    if (answer.status == OK) decode(WireMachines.serializer(), answer.body) else null
 
-            MALFORMED -> MachineOutcome.Rejected("status $MALFORMED")
-            else -> MachineOutcome.TryLater
-        }
-}
+/** Reads the answer of the platform to an order on a machine. */
+internal fun readMachineAnswer(answer: HttpOutcome.Answered): MachineOutcome =
+    when (answer.status) {
+        OK -> MachineOutcome.Done
+        CONFLICT ->
+            when (val reason = decode(WireOrderAnswer.serializer(), answer.body)?.reason) {
+                "fence" -> MachineOutcome.Fenced
+                "busy" -> MachineOutcome.Busy
+                else -> MachineOutcome.Rejected("$reason")
+            }
+
+        MALFORMED -> MachineOutcome.Rejected("status $MALFORMED")
+        else -> MachineOutcome.TryLater
+    }
 
 /** Reads a wave; null when the row is none. */
 internal fun readWave(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.serialization.SerializationException
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowChange
@@ -58,19 +57,12 @@
             )
         val body = wireJson.encodeToString(WireTransaction.serializer(), transaction).encodeToByteArray()
         return when (val outcome = link.exchange(HttpCall("POST", "/v1/rows-tx", body = body), timeoutMillis)) {
-            is HttpOutcome.Answered -> transactionOutcome(outcome)
+            is HttpOutcome.Answered -> readTransactionAnswer(outcome)
             is HttpOutcome.NotSent -> TransactionOutcome.Unavailable(outcome.cause)
             is HttpOutcome.Unanswered -> TransactionOutcome.Unknown(outcome.cause)
         }
     }
 
-    private fun transactionOutcome(answer: HttpOutcome.Answered): TransactionOutcome =
-        when (answer.status) {
-            OK -> TransactionOutcome.Applied(rows(answer.body)?.rowVersion ?: 0)
-            CONDITION_FAILED -> TransactionOutcome.Conflict(rows(answer.body)?.rows.orEmpty().map(::stored))
-            else -> TransactionOutcome.Unavailable("status ${answer.status}")
-        }
-
     override suspend fun read(
         place: RowPlace,
         key: String,
@@ -131,7 +123,7 @@
     private suspend fun page(
         query: String,
         timeoutMillis: Long,
-    ): ReadResult<WireRows> = readResult(link.exchange(HttpCall("GET", query), timeoutMillis))
+    ): ReadResult<WireRows> = readRowsAnswer(link.exchange(HttpCall("GET", query), timeoutMillis))
 
     override fun feed(table: String): RowFeed = Feed(table)
 
@@ -146,7 +138,7 @@
         ): ReadResult<RowBatch> {
             val query = "/v1/rows-feed?Table=${table.encodeURLParameter()}&Dependencies=$version&WaitMs=$waitMillis"
             val outcome = link.exchange(HttpCall("GET", query), waitMillis + ANSWER_MILLIS, connection)
-            return when (val read = readResult(outcome)) {
+            return when (val read = readRowsAnswer(outcome)) {
                 is ReadResult.Read -> ReadResult.Read(RowBatch(read.value.rows.map(::stored), read.value.rowVersion))
                 is ReadResult.Failed -> read
                 is ReadResult.HistoryGone -> read
@@ -158,45 +150,9 @@
         }
     }
 
-    private fun readResult(outcome: HttpOutcome): ReadResult<WireRows> =
-        when (outcome) {
-            is HttpOutcome.Answered ->
-                when (outcome.status) {
-                    OK -> rows(outcome.body)?.let { ReadResult.Read(it) } ?: ReadResult.Failed("unreadable answer")
-                    GONE -> ReadResult.HistoryGone
-                    else -> ReadResult.Failed("status ${outcome.status}")
-                }
-
-            is HttpOutcome.NotSent -> ReadResult.Failed(outcome.cause)
-            is HttpOutcome.Unanswered -> ReadResult.Failed(outcome.cause)
-        }
-
-    private fun rows(body: ByteArray): WireRows? =
-        try {
-            wireJson.decodeFromString(WireRows.serializer(), body.decodeToString())
-        } catch (_: SerializationException) {
-            null
-        }
-
     private fun encode(change: RowChange): String? = change.value?.let { Base64.getEncoder().encodeToString(it) }
 
-    private fun stored(row: WireRow): StoredRow {
-        val value = row.value?.takeIf { !row.deleted }?.let(::decodeValue)
-        return StoredRow(row.table, row.key, value, row.rowVersion ?: 0)
-    }
-
-    // Another writer may have left bytes that are no base64; they read as an empty value.
-    private fun decodeValue(text: String): ByteArray =
-        try {
-            Base64.getDecoder().decode(text)
-        } catch (_: IllegalArgumentException) {
-            ByteArray(0)
-        }
-
     private companion object {
-        const val OK = 200
-        const val GONE = 410
-        const val CONDITION_FAILED = 412
         const val READ_TIMEOUT_MILLIS = 1_500L
 
         // Beyond the wait that the call itself asks for.
