Call no run missing from a listing that has no room for all ends

Callers would see: a task that had ended as done was started a second time (TWICE). Cause: a worker lists 500 ends at a time. A run whose end is beyond them is in neither list, and was taken for gone. Change: a listing tells whether it has all ends; without them no run counts as missing.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -185,6 +185,8 @@
         sentAtMillis: Long,
         now: Long,
     ) {
+        // A run may be among the ends that found no room in the listing.
+        if (!listing.hasAllEnds) return
         val listed = listing.running.mapTo(HashSet()) { it.taskId to it.runId }
         worker.runs.values.toList().forEach { run ->
             val isCertain =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/WorkerGateway.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/WorkerGateway.kt
@@ -151,12 +151,14 @@
  * @property clockMillis clock of the worker.
  * @property running runs.
  * @property ended ends that were not acknowledged.
+ * @property hasAllEnds whether [ended] holds all of them; what is missing from a listing without all ends may have ended.
  */
 public data class WorkerListing(
     val bornUnixMillis: Long,
     val clockMillis: Long,
     val running: List<ListedRun>,
     val ended: List<ListedEnd>,
+    val hasAllEnds: Boolean = true,
 )
 
 /** Outcome of renewing the lease of a worker's runs and listing them. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
@@ -21,6 +21,9 @@
 private const val CONFLICT = 409
 private const val OTHER_LIFE = 421
 
+// Most ends that a worker lists in one answer, by the published protocol.
+private const val MOST_ENDS = 500
+
 /** Reads the answer of a worker to an order. */
 internal fun readOrderAnswer(answer: HttpOutcome.Answered): OrderOutcome {
     if (answer.status == OK) {
@@ -40,6 +43,7 @@
             clockMillis = held.clockMs,
             running = held.running.mapNotNull(::listedRun),
             ended = held.finished.mapNotNull(::listedEnd),
+            hasAllEnds = held.finished.size < MOST_ENDS,
         )
     return ListingOutcome.Listed(listing)
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -84,7 +84,8 @@
     ended: List<ListedEnd> = emptyList(),
     clockMillis: Long = 1_000,
     bornUnixMillis: Long = BORN,
-) = ListingOutcome.Listed(WorkerListing(bornUnixMillis, clockMillis, running, ended))
+    hasAllEnds: Boolean = true,
+) = ListingOutcome.Listed(WorkerListing(bornUnixMillis, clockMillis, running, ended, hasAllEnds))
 
 internal fun running(
     taskId: TaskId,
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
@@ -0,0 +1,54 @@
+package org.verbenagauge.platform
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.ListedEnd
+import org.verbenagauge.entry.jobs.ports.ListedRun
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.http.HttpOutcome
+
+private const val TASK = "5c0e7a21d94b36f8.0.1.17"
+private const val RUN = """["$TASK",2,"00000bb87a21d94b",41,7]"""
+private const val END = """[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]"""
+
+private data class HeldCase(
+    val name: String,
+    val body: String,
+)
+
+private fun held(
+    running: String = RUN,
+    finished: String = END,
+) = """{"ClockMs":482113,"born":1700000000000,"Running":[$running],"Finished":[$finished]}"""
+
+private fun read(body: String) = readListing(HttpOutcome.Answered(200, body.encodeToByteArray()))
+
+class ListingAnswerTest :
+    FunSpec({
+        test("a whole listing is read with its runs and ends") {
+            val listing = read(held()).shouldBeInstanceOf<ListingOutcome.Listed>().listing
+            listing.clockMillis shouldBe 482_113
+            listing.bornUnixMillis shouldBe 1_700_000_000_000
+            listing.running.map(ListedRun::runId) shouldBe listOf(2L)
+            listing.running.map(ListedRun::figure) shouldBe listOf(7L)
+            listing.ended.map(ListedEnd::kind) shouldBe listOf(EndKind.DONE)
+        }
+
+        context("a listing with as many ends as a worker lists at once may lack some") {
+            withData(
+                nameFn = { "${it.first} ends" },
+                0 to true,
+                1 to true,
+                499 to true,
+                500 to false,
+            ) { (ends, hasAllEnds) ->
+                val rows = (1..ends).joinToString(",") { """[$it,"$TASK",$it,"done",""]""" }
+                val listing = read(held(finished = rows)).shouldBeInstanceOf<ListingOutcome.Listed>().listing
+                listing.ended.size shouldBe ends
+                listing.hasAllEnds shouldBe hasAllEnds
+            }
+        }
+    })
