Take a listing with a row that cannot be read for no listing

Callers would see: a task ran twice, or one that was done started again (TWICE). Cause: rows of runs and ends that could not be read were left out without a word. The run of such a row was missing and so counted as gone; an end of such a row was passed over and acknowledged, as was one that tells its kind in an unknown word. A row with a list or an object in place of a text threw, out of the coroutine that drives the worker. Evidence: 15 of 16 cases in two tables of ListingAnswerTest failed before, 5 of them with an exception. Change: a row without its number, task, run, kind or saved state makes the answer unreadable; nothing in it counts, and LISTING_UNREADABLE tells why, once for each silence. Progress and figure may still have any form. EndKind.UNKNOWN is gone. Measured: ListingAnswerTest, PartialListingTest, JobEngineTest and JobEngineFuzzTest pass.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -65,6 +65,7 @@
     WORKER_AVOIDED,
     WORKER_GONE,
     WORKER_RESTARTED,
+    LISTING_UNREADABLE,
 }
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -175,6 +175,7 @@
         when (outcome) {
             is ListingOutcome.Listed -> listings.read(worker, outcome.listing, sentAtMillis, now)
             is ListingOutcome.Failed -> worker.firstFailureMillis = worker.firstFailureMillis ?: now
+            is ListingOutcome.Unreadable -> unreadable(worker, outcome.cause, now)
             is ListingOutcome.Refused ->
                 when (outcome.refusal) {
                     StartRefusal.FENCED -> return false
@@ -185,6 +186,16 @@
         return true
     }
 
+    // Noted once for each time that the worker falls silent.
+    private fun unreadable(
+        worker: WorkerEntry,
+        cause: String,
+        now: Long,
+    ) {
+        if (worker.firstFailureMillis == null) state.note(NoteKind.LISTING_UNREADABLE, worker.id, cause)
+        worker.firstFailureMillis = worker.firstFailureMillis ?: now
+    }
+
     /** Takes in the outcome of an order to start that was sent at [sentAtMillis]; false after a higher epoch. */
     fun started(
         workerId: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -16,4 +16,5 @@
         NoteKind.WORKER_AVOIDED -> Event.WORKER_AVOIDED
         NoteKind.WORKER_GONE -> Event.WORKER_GONE
         NoteKind.WORKER_RESTARTED -> Event.WORKER_RESTARTED
+        NoteKind.LISTING_UNREADABLE -> Event.LISTING_UNREADABLE
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/WorkerGateway.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/WorkerGateway.kt
@@ -105,9 +105,6 @@
 
     /** The other members of the gang did not come in time. */
     ALONE,
-
-    /** Told in a way that is not known here. */
-    UNKNOWN,
 }
 
 /**
@@ -173,6 +170,11 @@
         val refusal: StartRefusal,
     ) : ListingOutcome
 
+    /** An answer that cannot be read as a whole, for [cause]: it tells nothing of any run. */
+    public data class Unreadable(
+        val cause: String,
+    ) : ListingOutcome
+
     /** No answer, for [cause]. */
     public data class Failed(
         val cause: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.doubleOrNull
-import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.longOrNull
 import org.verbenagauge.entry.jobs.model.parseTaskId
 import org.verbenagauge.entry.jobs.ports.EndKind
@@ -24,6 +24,9 @@
 // Most ends that a worker lists in one answer, by the published protocol.
 private const val MOST_ENDS = 500
 
+// Enough of a row for the log; its saved state may be long.
+private const val MOST_ROW_CHARS = 160
+
 /** Reads the answer of a worker to an order. */
 internal fun readOrderAnswer(answer: HttpOutcome.Answered): OrderOutcome {
     if (answer.status == OK) {
@@ -33,21 +36,28 @@
     return OrderOutcome.Refused(refusalOf(answer))
 }
 
-/** Reads the answer of a worker to a renewal. */
+/** Reads the answer of a worker to a renewal. One that cannot be read as a whole may lack any run. */
 internal fun readListing(answer: HttpOutcome.Answered): ListingOutcome {
     if (answer.status != OK) return ListingOutcome.Refused(refusalOf(answer))
-    val held = decode(WireHeld.serializer(), answer.body) ?: return ListingOutcome.Failed("unreadable answer")
-    val listing =
+    val held = decode(WireHeld.serializer(), answer.body) ?: return ListingOutcome.Unreadable("no listing")
+    val running = held.running.map { listedRun(it) ?: return unreadable("runs", it) }
+    val ended = held.finished.map { listedEnd(it) ?: return unreadable("ends", it) }
+    return ListingOutcome.Listed(
         WorkerListing(
             bornUnixMillis = held.born,
             clockMillis = held.clockMs,
-            running = held.running.mapNotNull(::listedRun),
-            ended = held.finished.mapNotNull(::listedEnd),
-            hasAllEnds = held.finished.size < MOST_ENDS,
-        )
-    return ListingOutcome.Listed(listing)
+            running = running,
+            ended = ended,
+            hasAllEnds = ended.size < MOST_ENDS,
+        ),
+    )
 }
 
+private fun unreadable(
+    list: String,
+    row: JsonArray,
+) = ListingOutcome.Unreadable("a row of the $list: ${row.toString().take(MOST_ROW_CHARS)}")
+
 private const val RUN_FIELDS = 4
 private const val END_FIELDS = 5
 private const val PERCENT_FIELD = 3
@@ -58,32 +68,40 @@
 // A row of runs: task, run, saved state, percent of the work, and a rough figure of the last half second.
 private fun listedRun(row: JsonArray): ListedRun? {
     if (row.size < RUN_FIELDS) return null
-    val taskId = parseTaskId(text(row, 0)) ?: return null
-    val runId = row[1].jsonPrimitive.longOrNull ?: return null
-    val percent = row[PERCENT_FIELD].jsonPrimitive.doubleOrNull?.toInt() ?: 0
-    val figure =
-        row
-            .getOrNull(FIGURE_FIELD)
-            ?.jsonPrimitive
-            ?.doubleOrNull
-            ?.toLong() ?: 0
-    return ListedRun(taskId, runId, text(row, 2), percent, figure)
+    val taskId = text(row, 0)?.let(::parseTaskId) ?: return null
+    val runId = number(row, 1) ?: return null
+    val checkpoint = text(row, 2) ?: return null
+    return ListedRun(taskId, runId, checkpoint, figure(row, PERCENT_FIELD).toInt(), figure(row, FIGURE_FIELD).toLong())
 }
 
 // A row of ends: number, task, run, how it ended, saved state.
 private fun listedEnd(row: JsonArray): ListedEnd? {
     if (row.size < END_FIELDS) return null
-    val number = row[0].jsonPrimitive.longOrNull ?: return null
-    val runId = row[2].jsonPrimitive.longOrNull ?: return null
-    return ListedEnd(number, parseTaskId(text(row, 1)), runId, endKind(text(row, HOW_FIELD)), text(row, SAVED_FIELD))
+    val number = number(row, 0) ?: return null
+    val taskId = text(row, 1)?.let(::parseTaskId) ?: return null
+    val runId = number(row, 2) ?: return null
+    val kind = text(row, HOW_FIELD)?.let(::endKind) ?: return null
+    val checkpoint = text(row, SAVED_FIELD) ?: return null
+    return ListedEnd(number, taskId, runId, kind, checkpoint)
 }
 
 private fun text(
     row: JsonArray,
     index: Int,
-): String = row[index].jsonPrimitive.content
+): String? = (row[index] as? JsonPrimitive)?.takeIf { it.isString }?.content
+
+private fun number(
+    row: JsonArray,
+    index: Int,
+): Long? = (row[index] as? JsonPrimitive)?.longOrNull
+
+// Figures are rough, and nothing is decided on the presence of a run by them.
+private fun figure(
+    row: JsonArray,
+    index: Int,
+): Double = (row.getOrNull(index) as? JsonPrimitive)?.doubleOrNull ?: 0.0
 
-private fun endKind(how: String): EndKind =
+private fun endKind(how: String): EndKind? =
     when (how) {
         "done" -> EndKind.DONE
         "failed" -> EndKind.FAILED
@@ -91,7 +109,7 @@
         "lapsed" -> EndKind.LAPSED
         "broken" -> EndKind.BROKEN
         "alone" -> EndKind.ALONE
-        else -> EndKind.UNKNOWN
+        else -> null
     }
 
 private fun refusalOf(answer: HttpOutcome.Answered): StartRefusal =
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
@@ -51,4 +51,35 @@
                 listing.hasAllEnds shouldBe hasAllEnds
             }
         }
+
+        context("a listing with a row that cannot be read says nothing of what is missing in it") {
+            withData(
+                nameFn = { it.name },
+                HeldCase("a run with too few fields", held(running = """["$TASK",2]""")),
+                HeldCase("a run whose task has another form", held(running = """["task",2,"",41]""")),
+                HeldCase("a run whose task is a list", held(running = """[["$TASK"],2,"",41]""")),
+                HeldCase("a run without its number", held(running = """["$TASK","x","",41]""")),
+                HeldCase("a run whose saved state is an object", held(running = """["$TASK",2,{},41]""")),
+                HeldCase("one run of two", held(running = """$RUN,["$TASK"]""")),
+                HeldCase("a run that is no row", held(running = """$RUN,7""")),
+                HeldCase("an end with too few fields", held(finished = """[58,"$TASK",1]""")),
+                HeldCase("an end without its number", held(finished = """["x","$TASK",1,"done",""]""")),
+                HeldCase("an end whose task has another form", held(finished = """[58,"task",1,"done",""]""")),
+                HeldCase("an end that tells its kind in another way", held(finished = """[58,"$TASK",1,"gone",""]""")),
+                HeldCase("an end whose kind is a list", held(finished = """[58,"$TASK",1,["done"],""]""")),
+                HeldCase("an end whose saved state is null", held(finished = """[58,"$TASK",1,"done",null]""")),
+            ) { case -> read(case.body).shouldBeInstanceOf<ListingOutcome.Unreadable>() }
+        }
+
+        context("a figure that cannot be read does not hide a run") {
+            withData(
+                nameFn = { it.name },
+                HeldCase("no figure", held(running = """["$TASK",2,"",41]""")),
+                HeldCase("a figure that is a list", held(running = """["$TASK",2,"",41,[]]""")),
+                HeldCase("progress that is a list", held(running = """["$TASK",2,"",[],0]""")),
+            ) { case ->
+                val listing = read(case.body).shouldBeInstanceOf<ListingOutcome.Listed>().listing
+                listing.running.single().runId shouldBe 2
+            }
+        }
     })
