Take an answer without lists, clock or life for no listing

Callers would see: all tasks of a worker started again although they ran on (TWICE). Cause: an answer such as {} was filled up with defaults: life 0 looked like a new life, and both lists as if nothing ran there. Evidence: 6 of 6 cases of a table in ListingAnswerTest failed before. Change: ClockMs, born, Running and Finished have no defaults; an answer that lacks one of them is unreadable. Measured: ListingAnswerTest and JobEngineTest pass.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -181,10 +181,11 @@
 
 @Serializable
 internal data class WireHeld(
-    @SerialName("ClockMs") val clockMs: Long = 0,
-    val born: Long = 0,
-    @SerialName("Running") val running: List<JsonArray> = emptyList(),
-    @SerialName("Finished") val finished: List<JsonArray> = emptyList(),
+    // Without defaults: an answer that lacks one of them says nothing of any run.
+    @SerialName("ClockMs") val clockMs: Long,
+    val born: Long,
+    @SerialName("Running") val running: List<JsonArray>,
+    @SerialName("Finished") val finished: List<JsonArray>,
 )
 
 @Serializable
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
@@ -52,6 +52,18 @@
             }
         }
 
+        context("a listing that leaves out what it has to tell is not taken for an empty worker") {
+            withData(
+                nameFn = { it.name },
+                HeldCase("an empty object", "{}"),
+                HeldCase("no clock", """{"born":1700000000000,"Running":[],"Finished":[]}"""),
+                HeldCase("no start of the life", """{"ClockMs":1,"Running":[],"Finished":[]}"""),
+                HeldCase("no runs", """{"ClockMs":1,"born":1700000000000,"Finished":[]}"""),
+                HeldCase("no ends", """{"ClockMs":1,"born":1700000000000,"Running":[]}"""),
+                HeldCase("no JSON", "busy"),
+            ) { case -> read(case.body).shouldBeInstanceOf<ListingOutcome.Unreadable>() }
+        }
+
         context("a listing with a row that cannot be read says nothing of what is missing in it") {
             withData(
                 nameFn = { it.name },
