Grant and acknowledge nothing after a call without a readable listing

Callers would see: tasks of a worker that refuses or garbles every answer about its runs never start elsewhere, as the owner goes on to count leases that nobody shows to be granted. Cause: a connection that has answered once was trusted, whatever it answered since. Change: after a refusal, an unreadable answer or none, renewals carry no lease, no wait and no acknowledgement until the next listing. What runs on such a worker lapses, and is then started elsewhere.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -150,7 +150,9 @@
     ): Renewal? {
         val worker = state.workers[workerId] ?: return null
         if (!worker.isToBeAsked()) return null
-        val canTrust = isProven && worker.isHeard
+        // After a call without a readable listing nothing is granted or acknowledged until the next one, so that what runs
+        // there lapses when none comes.
+        val canTrust = isProven && worker.isHeard && worker.firstFailureMillis == null
         val lease = (worker.estimatedClockMillis(now) + limits.leaseMillis).takeIf { canTrust }
         if (lease != null) worker.leaseUntilWorkerMillis = maxOf(worker.leaseUntilWorkerMillis, lease)
         val acknowledged = if (canTrust) worker.storedEnd else 0
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/PartialListingTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/PartialListingTest.kt
@@ -1,17 +1,26 @@
 package org.verbenagauge.entry.jobs.engine
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.StartRefusal
 
 private const val JOB = "0000000000000001"
 private const val OTHER_JOB = "0000000000000002"
 private val task = TaskId(JOB, 0, 0, 0)
 
+private data class FailureCase(
+    val name: String,
+    val outcome: ListingOutcome,
+)
+
 class PartialListingTest :
     FunSpec({
         test("a run whose end is beyond those that fit into one listing is not taken for gone") {
@@ -33,4 +42,49 @@
                 .single()
                 .state shouldBe JobState.COMPLETED
         }
+
+        context("after an answer that names no runs nothing is called gone, renewed or acknowledged") {
+            withData(
+                nameFn = { it.name },
+                FailureCase("one that cannot be read", ListingOutcome.Unreadable("no clock")),
+                FailureCase("one that never came", ListingOutcome.Failed("silent")),
+                FailureCase("a refusal", ListingOutcome.Refused(StartRefusal.UNHEALTHY)),
+            ) { case ->
+                val engine = readyEngine("w1", "w2")
+                engine.accept(JOB, job(step(1)), now = 0)
+                val start = engine.decide(0, 0).starts().single()
+                val workerId = start.address.workerId
+                engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 5)
+                val ended = listOf(end(1, TaskId(OTHER_JOB, 0, 0, 0), 1, EndKind.DONE))
+                val runs = listOf(running(task, start.order.runId))
+                engine.listed(workerId, listing(running = runs, ended = ended), 10, 20)
+                engine.stored(engine.seenEnds())
+                engine.listed(workerId, case.outcome, 30, 40)
+                engine.decide(40, 0).starts().shouldBeEmpty()
+                val renewal = engine.renewal(workerId, 100, isProven = true, now = 50)
+                renewal?.acknowledged shouldBe 0
+                renewal?.leaseUntilWorkerMillis shouldBe null
+                renewal?.waitMillis shouldBe 0
+                engine.listed(workerId, listing(running = runs, ended = ended), 50, 60)
+                engine.renewal(workerId, 100, isProven = true, now = 70)?.acknowledged shouldBe 1
+            }
+        }
+
+        test("the task of a worker whose answers stay unreadable starts elsewhere when its lease has passed") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val workerId = start.address.workerId
+            engine.started(workerId, start.order, OrderOutcome.Done(1_000), now = 5)
+            var now = 10L
+            while (now < 6_000) {
+                engine.renewal(workerId, 100, isProven = true, now = now)
+                engine.listed(workerId, ListingOutcome.Unreadable("a row of another form"), now, now + 10)
+                engine.decide(now + 10, 0).starts().shouldBeEmpty()
+                now += 160
+            }
+            val again = engine.decide(7_000, 0).starts()
+            again shouldHaveSize 1
+            (again.single().address.workerId != workerId) shouldBe true
+        }
     })
