Take answers beyond the protocol for no answer to an order

Callers would see: a task that a worker had begun was started elsewhere as well (TWICE), after a 500, 502, 504 or 404, or a 409 without a reason; or, after a 200 without the clock, leases that end at once, as the worker's clock was thought to be 0. Cause: every status other than 200, 400, 409 and 421 counted as unhealthy, which says that nothing was done. Only 429 and 503 say so. A 409 with an unknown reason counted as malformed, and ClockMs was filled up with 0. Change: what the protocol does not name is unclear: an order is sent again, a listing is unreadable.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -190,7 +190,7 @@
 
 @Serializable
 internal data class WireOrderAnswer(
-    @SerialName("ClockMs") val clockMs: Long = 0,
+    @SerialName("ClockMs") val clockMs: Long? = null,
     @SerialName("Reason") val reason: String = "",
 )
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
@@ -20,6 +20,8 @@
 private const val MALFORMED = 400
 private const val CONFLICT = 409
 private const val OTHER_LIFE = 421
+private const val BUSY = 429
+private const val UNAVAILABLE = 503
 
 // Most ends that a worker lists in one answer, by the published protocol.
 private const val MOST_ENDS = 500
@@ -27,18 +29,23 @@
 // Enough of a row for the log; its saved state may be long.
 private const val MOST_ROW_CHARS = 160
 
-/** Reads the answer of a worker to an order. */
+/**
+ * Reads the answer of a worker to an order. Only refusals that the protocol names say that the order was not carried out;
+ * every other answer tells no more than none.
+ */
 internal fun readOrderAnswer(answer: HttpOutcome.Answered): OrderOutcome {
-    if (answer.status == OK) {
-        val clockMillis = decode(WireOrderAnswer.serializer(), answer.body)?.clockMs ?: 0
-        return OrderOutcome.Done(clockMillis)
-    }
-    return OrderOutcome.Refused(refusalOf(answer))
+    val unclear = OrderOutcome.Unanswered("unclear answer, status ${answer.status}")
+    if (answer.status != OK) return refusalOf(answer)?.let { OrderOutcome.Refused(it) } ?: unclear
+    val clockMillis = decode(WireOrderAnswer.serializer(), answer.body)?.clockMs ?: return unclear
+    return OrderOutcome.Done(clockMillis)
 }
 
 /** Reads the answer of a worker to a renewal. One that cannot be read as a whole may lack any run. */
 internal fun readListing(answer: HttpOutcome.Answered): ListingOutcome {
-    if (answer.status != OK) return ListingOutcome.Refused(refusalOf(answer))
+    if (answer.status != OK) {
+        val refusal = refusalOf(answer) ?: return ListingOutcome.Unreadable("status ${answer.status}")
+        return ListingOutcome.Refused(refusal)
+    }
     val held = decode(WireHeld.serializer(), answer.body) ?: return ListingOutcome.Unreadable("no listing")
     val running = held.running.map { listedRun(it) ?: return unreadable("runs", it) }
     val ended = held.finished.map { listedEnd(it) ?: return unreadable("ends", it) }
@@ -112,22 +119,24 @@
         else -> null
     }
 
-private fun refusalOf(answer: HttpOutcome.Answered): StartRefusal =
+// Null when the answer does not say why, or is none of the protocol.
+private fun refusalOf(answer: HttpOutcome.Answered): StartRefusal? =
     when (answer.status) {
         CONFLICT -> reasonOf(decode(WireOrderAnswer.serializer(), answer.body)?.reason)
         MALFORMED -> StartRefusal.MALFORMED
         OTHER_LIFE -> StartRefusal.OTHER_LIFE
-        else -> StartRefusal.UNHEALTHY
+        BUSY, UNAVAILABLE -> StartRefusal.UNHEALTHY
+        else -> null
     }
 
-private fun reasonOf(reason: String?): StartRefusal =
+private fun reasonOf(reason: String?): StartRefusal? =
     when (reason) {
         "fence" -> StartRefusal.FENCED
         "old" -> StartRefusal.OLD_RUN
         "late" -> StartRefusal.LEASE_PASSED
         "room" -> StartRefusal.NO_ROOM
         "ticket" -> StartRefusal.TICKET
-        else -> StartRefusal.MALFORMED
+        else -> null
     }
 
 /** Decodes the body of an answer; null when it has another shape. */
