Let a refusal of a repeated order say nothing of its first copy

Callers would see: a task ran twice, or one that was done started again (TWICE); a lasting task that was at work was stopped. Cause: an order whose answer was lost is sent again with the same end of its lease. "The lease has passed" then counted as "never began", though the first copy may run under a lease that renewals prolonged since, or may be carried out later under it. The same refusal ended a run that a listing had shown; other refusals stopped such a run. Evidence: 8 of 39 cases of the table in RefusedStartTest and both of its stories failed before. Change: a refusal tells of the run only when a single copy of its order was sent and nothing has shown it. After a copy without an answer the run is stopped first, and its task starts again once the stop is answered and a later listing lacks the run. A run that was shown goes on. JobEngineTest expected the start at once in this case, which is the fault; it now expects none, and a start at once when the only copy is refused. RefusedStartTest holds the whole table of what is known, refusal and result. Measured: RefusedStartTest, JobEngineTest and JobEngineFuzzTest pass.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -36,7 +36,7 @@
             }
 
             is OrderOutcome.Unanswered -> retry(worker, run, order, isUncertain = true)
-            is OrderOutcome.NotSent -> if (run.isUncertain) retry(worker, run, order, true) else runs.gone(run, now)
+            is OrderOutcome.NotSent -> if (mayHaveBegun(run)) retry(worker, run, order, false) else runs.gone(run, now)
             is OrderOutcome.Refused -> return refused(worker, run, outcome.refusal, now)
         }
         return true
@@ -77,12 +77,18 @@
             // It began and has ended, which the worker lists, or it was stopped before it came.
             refusal == StartRefusal.OLD_RUN -> confirm(run, now)
             refusal == StartRefusal.OTHER_LIFE -> workers.drop(worker, "another worker answers at its address", now)
-            run.isUncertain && refusal != StartRefusal.LEASE_PASSED -> runs.stop(run, now)
+            // The worker has shown it, whatever a repeated order is told.
+            run.phase == RunPhase.RUNNING -> Unit
+            mayHaveBegun(run) -> runs.stop(run, now)
             else -> runs.gone(run, now)
         }
         return true
     }
 
+    // Only when a single copy of the order was sent does its refusal tell of the run. A copy without an answer may run under a
+    // lease that was prolonged since, or be carried out later, so that even a lease that has passed proves nothing.
+    private fun mayHaveBegun(run: Run) = run.isUncertain || run.confirmedAtMillis > 0
+
     /** Takes in the outcome of an order to stop; false after a higher epoch. */
     fun stopped(
         workerId: String,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -88,7 +88,8 @@
                 nameFn = { "$it" },
                 RefusalCase(StartRefusal.NO_ROOM, isUncertain = false, startsAgain = true),
                 RefusalCase(StartRefusal.NO_ROOM, isUncertain = true, startsAgain = false),
-                RefusalCase(StartRefusal.LEASE_PASSED, isUncertain = true, startsAgain = true),
+                RefusalCase(StartRefusal.LEASE_PASSED, isUncertain = true, startsAgain = false),
+                RefusalCase(StartRefusal.LEASE_PASSED, isUncertain = false, startsAgain = true),
                 RefusalCase(StartRefusal.OLD_RUN, isUncertain = true, startsAgain = false),
             ) { case ->
                 val engine = readyEngine("w1")
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/RefusedStartTest.kt
@@ -0,0 +1,148 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.EndKind
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.StartRefusal
+
+private const val JOB = "0000000000000001"
+private val task = TaskId(JOB, 0, 0, 0)
+
+// What is known of the run when the answer to the last copy of its order comes.
+private enum class Known {
+    ORDERED,
+    EARLIER_COPY_UNANSWERED,
+    LISTED,
+    STOP_ORDERED,
+    STOP_ORDERED_EARLIER_COPY_UNANSWERED,
+    STOP_ORDERED_LISTED,
+}
+
+private data class RefusedCase(
+    val known: Known,
+    val refusal: StartRefusal,
+    val phase: RunPhase?,
+)
+
+private fun cases(
+    known: Known,
+    phase: RunPhase?,
+    vararg refusals: StartRefusal,
+) = refusals.map { RefusedCase(known, it, phase) }
+
+// Refusals that say that this copy of the order was not carried out.
+private val notBegun =
+    arrayOf(
+        StartRefusal.LEASE_PASSED,
+        StartRefusal.NO_ROOM,
+        StartRefusal.TICKET,
+        StartRefusal.UNHEALTHY,
+        StartRefusal.MALFORMED,
+    )
+
+private val table =
+    // The only copy was refused, so that the run has surely not begun.
+    cases(Known.ORDERED, null, *notBegun) +
+        cases(Known.STOP_ORDERED, null, *notBegun) +
+        // The copy without an answer may have been carried out, or may be later.
+        cases(Known.EARLIER_COPY_UNANSWERED, RunPhase.STOPPING, *notBegun) +
+        cases(Known.STOP_ORDERED_EARLIER_COPY_UNANSWERED, RunPhase.STOPPING, *notBegun) +
+        // The worker has shown that it runs.
+        cases(Known.LISTED, RunPhase.RUNNING, *notBegun) +
+        cases(Known.STOP_ORDERED_LISTED, RunPhase.STOPPING, *notBegun) +
+        // It has begun, and the next listing tells whether it has ended.
+        cases(Known.ORDERED, RunPhase.RUNNING, StartRefusal.OLD_RUN) +
+        cases(Known.EARLIER_COPY_UNANSWERED, RunPhase.RUNNING, StartRefusal.OLD_RUN) +
+        cases(Known.LISTED, RunPhase.RUNNING, StartRefusal.OLD_RUN) +
+        cases(Known.STOP_ORDERED, RunPhase.STOPPING, StartRefusal.OLD_RUN) +
+        cases(Known.STOP_ORDERED_EARLIER_COPY_UNANSWERED, RunPhase.STOPPING, StartRefusal.OLD_RUN) +
+        cases(Known.STOP_ORDERED_LISTED, RunPhase.STOPPING, StartRefusal.OLD_RUN) +
+        // Says nothing of the run, which a new owner takes over.
+        cases(Known.ORDERED, RunPhase.STARTING, StartRefusal.FENCED) +
+        cases(Known.EARLIER_COPY_UNANSWERED, RunPhase.STARTING, StartRefusal.FENCED) +
+        cases(Known.LISTED, RunPhase.RUNNING, StartRefusal.FENCED)
+
+private fun JobEngine.bring(
+    start: EngineAction.Start,
+    known: Known,
+) {
+    val workerId = start.address.workerId
+    val isRepeated = known != Known.ORDERED && known != Known.STOP_ORDERED
+    if (isRepeated) {
+        started(workerId, start.order, OrderOutcome.Unanswered("lost"), now = 10)
+        decide(10, 0).starts() shouldBe listOf(start)
+    }
+    if (known == Known.LISTED || known == Known.STOP_ORDERED_LISTED) {
+        listed(workerId, listing(running = listOf(running(start.order.taskId, start.order.runId))), 12, 14)
+    }
+    val run =
+        state.workers
+            .getValue(workerId)
+            .runs
+            .getValue(task)
+    if (known.name.startsWith("STOP_ORDERED")) stop(run, now = 16)
+}
+
+class RefusedStartTest :
+    FunSpec({
+        context("a refused start says no more than that this copy of the order was not carried out") {
+            withData(nameFn = { "${it.known}, ${it.refusal}" }, table) { case ->
+                val engine = readyEngine("w1", "w2")
+                engine.accept(JOB, job(step(1)), now = 0)
+                val start = engine.decide(0, 0).starts().single()
+                val workerId = start.address.workerId
+                engine.bring(start, case.known)
+                val isOwner = engine.started(workerId, start.order, OrderOutcome.Refused(case.refusal), now = 20)
+                isOwner shouldBe (case.refusal != StartRefusal.FENCED)
+                engine.state.workers
+                    .getValue(workerId)
+                    .runs[task]
+                    ?.phase shouldBe case.phase
+                engine.decide(20, 0).starts().filter { it != start } shouldHaveSize if (case.phase == null) 1 else 0
+            }
+        }
+
+        test("a repeated order that comes too late does not start its task again beside the first copy") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val workerId = start.address.workerId
+            val runId = start.order.runId
+            engine.started(workerId, start.order, OrderOutcome.Unanswered("lost"), now = 500)
+            engine.decide(500, 0)
+            val late = OrderOutcome.Refused(StartRefusal.LEASE_PASSED)
+            engine.started(workerId, start.order, late, now = 6_100, sentAtMillis = 6_000)
+            engine.decide(6_100, 0).starts().shouldBeEmpty()
+            engine.stopped(workerId, task, runId, OrderOutcome.Done(7_150), now = 6_150)
+            val done = listing(ended = listOf(end(1, task, runId, EndKind.DONE)), clockMillis = 7_200)
+            engine.listed(workerId, done, 6_180, 6_200)
+            engine.decide(6_200, 0).starts().shouldBeEmpty()
+            engine.state
+                .takeChanges(10)
+                .single()
+                .state shouldBe JobState.COMPLETED
+        }
+
+        test(
+            "a task whose repeated order came too late starts again when its stop is answered and a later listing lacks it",
+        ) {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            engine.started("w1", start.order, OrderOutcome.Unanswered("lost"), now = 500)
+            engine.decide(500, 0)
+            val late = OrderOutcome.Refused(StartRefusal.LEASE_PASSED)
+            engine.started("w1", start.order, late, now = 6_100, sentAtMillis = 6_000)
+            engine.listed("w1", listing(clockMillis = 7_110), 6_105, 6_110)
+            engine.decide(6_110, 0).starts().shouldBeEmpty()
+            engine.stopped("w1", task, start.order.runId, OrderOutcome.Done(7_150), now = 6_150)
+            engine.listed("w1", listing(clockMillis = 7_200), 6_180, 6_200)
+            engine.decide(6_200, 0).starts() shouldHaveSize 1
+        }
+    })
