Count a call to the store as not sent only when no way sent it

Callers would see: a job that was refused with 503, and so "never runs", was stored and ran. Cause: while the store is reached through peers, the outcome of the peers' attempt was thrown away when the direct attempt that followed failed too. "No answer" through a peer and "not sent" directly then made "not sent". Change: the outcomes of all ways are put together; one without an answer makes the whole unanswered. Measured: StoreLinkTest passes.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
@@ -52,16 +52,19 @@
         timeoutMillis: Long,
         connection: HttpConnection? = null,
     ): HttpOutcome {
-        if (isDirectDown) relayed(call, timeoutMillis)?.takeIf(::isServed)?.let { return it }
+        val earlier = if (isDirectDown) relayed(call, timeoutMillis) else null
+        if (earlier != null && isServed(earlier)) return earlier
         val outcome = direct(call, timeoutMillis, connection)
         if (isServed(outcome)) {
             isDirectDown = false
             return outcome
         }
-        val other = relayed(call, timeoutMillis) ?: return outcome
-        if (!isServed(other)) return worse(outcome, other)
-        foundDown(outcome)
-        return other
+        val other = relayed(call, timeoutMillis)
+        if (other != null && isServed(other)) {
+            foundDown(outcome)
+            return other
+        }
+        return listOfNotNull(earlier, other).fold(outcome, ::worse)
     }
 
     /** Opens a connection of its own. */
@@ -83,7 +86,7 @@
     private fun isServed(outcome: HttpOutcome): Boolean =
         outcome is HttpOutcome.Answered && outcome.status != BUSY && outcome.status != UNAVAILABLE
 
-    // A call that may have been carried out by either way may be carried out.
+    // A call that may have been carried out on one way may be carried out.
     private fun worse(
         first: HttpOutcome,
         second: HttpOutcome,
