Take an unclear answer of the store for none, and no empty answer for an empty table

Callers would see: an owner gave its duty up after a write that was stored, and after a 500, 502 or 504 a job refused with 503 ran; after {} in place of rows every worker and every job would count as gone. Cause: a 200 without a readable RowVersion counted as version 0, a 412 without rows as a row that is gone, every other status as refused, and an answer without rows and RowVersion as an empty table at version 0. Change: RowVersion and rows have no defaults. Only 400, 403, 429, 503 and 507 say that nothing was done; what is unclear counts as unanswered, so that the same transaction is sent again.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
@@ -1,6 +1,5 @@
 package org.verbenagauge.platform
 
-import kotlinx.serialization.SerializationException
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
@@ -11,13 +10,27 @@
 private const val GONE = 410
 private const val CONDITION_FAILED = 412
 
-/** Reads the answer of the store to a transaction. */
-internal fun readTransactionAnswer(answer: HttpOutcome.Answered): TransactionOutcome =
-    when (answer.status) {
-        OK -> TransactionOutcome.Applied(rows(answer.body)?.rowVersion ?: 0)
-        CONDITION_FAILED -> TransactionOutcome.Conflict(rows(answer.body)?.rows.orEmpty().map(::stored))
-        else -> TransactionOutcome.Unavailable("status ${answer.status}")
+// Statuses that say that nothing was done.
+private val refusals = setOf(400, 403, 429, 503, 507)
+
+/** Reads the answer of the store to a transaction; one that is not clear tells no more than none. */
+internal fun readTransactionAnswer(answer: HttpOutcome.Answered): TransactionOutcome {
+    val unclear = TransactionOutcome.Unknown("unclear answer, status ${answer.status}")
+    return when (answer.status) {
+        OK ->
+            decode(WireApplied.serializer(), answer.body)?.let { TransactionOutcome.Applied(it.rowVersion) }
+                ?: unclear
+        CONDITION_FAILED -> conflict(answer.body) ?: unclear
+        in refusals -> TransactionOutcome.Unavailable("status ${answer.status}")
+        else -> unclear
     }
+}
+
+private fun conflict(body: ByteArray): TransactionOutcome.Conflict? {
+    val rows = decode(WireConflict.serializer(), body)?.rows ?: return null
+    if (rows.any { it.rowVersion == null }) return null
+    return TransactionOutcome.Conflict(rows.map(::stored))
+}
 
 /** Reads the answer of the store to a reading of rows. */
 internal fun readRowsAnswer(outcome: HttpOutcome): ReadResult<WireRows> =
@@ -33,12 +46,9 @@
         is HttpOutcome.Unanswered -> ReadResult.Failed(outcome.cause)
     }
 
+// A row without its version would look as if it did not exist.
 private fun rows(body: ByteArray): WireRows? =
-    try {
-        wireJson.decodeFromString(WireRows.serializer(), body.decodeToString())
-    } catch (_: SerializationException) {
-        null
-    }
+    decode(WireRows.serializer(), body)?.takeIf { page -> page.rows.all { it.rowVersion != null } }
 
 /** Returns [row] as the rest of the system knows it. */
 internal fun stored(row: WireRow): StoredRow {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -140,9 +140,20 @@
 
 @Serializable
 internal data class WireRows(
-    val rows: List<WireRow> = emptyList(),
+    // Without defaults: an answer that lacks them is no empty table.
+    val rows: List<WireRow>,
     @SerialName("HasMore") val hasMore: Boolean = false,
-    @SerialName("RowVersion") val rowVersion: Long = 0,
+    @SerialName("RowVersion") val rowVersion: Long,
+)
+
+@Serializable
+internal data class WireApplied(
+    @SerialName("RowVersion") val rowVersion: Long,
+)
+
+@Serializable
+internal data class WireConflict(
+    val rows: List<WireRow>,
 )
 
 @Serializable
