Take an unclear answer about machines for none

Callers would see: a wave said to be completed although a machine has not begun its upkeep (MIXED); more machines down at once than the wave allows (LIMIT); tasks of a worker started again that runs on (TWICE), after {} in place of the machines. Cause: a 409 without a known reason counted as "not of that wave", which ends the matter; every status other than 200, 400 and 409 as "nothing was done"; an answer without machines as a list in which all machines are gone. Change: only 429 and 503 say that nothing was done; what is unclear counts as unanswered, so that the order is sent again. Machines and their states have no defaults.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -18,6 +18,8 @@
 private const val OK = 200
 private const val MALFORMED = 400
 private const val CONFLICT = 409
+private const val BUSY = 429
+private const val UNAVAILABLE = 503
 private const val TIMEOUT_MILLIS = 1_500L
 private const val STATUS_TABLE = "status"
 private const val WAVE_PREFIX = "wave/"
@@ -92,19 +94,22 @@
 internal fun readMachinePage(answer: HttpOutcome.Answered): WireMachines? =
     if (answer.status == OK) decode(WireMachines.serializer(), answer.body) else null
 
-/** Reads the answer of the platform to an order on a machine. */
+/** Reads the answer of the platform to an order on a machine; one that is not clear tells no more than none. */
 internal fun readMachineAnswer(answer: HttpOutcome.Answered): MachineOutcome =
     when (answer.status) {
         OK -> MachineOutcome.Done
-        CONFLICT ->
-            when (val reason = decode(WireOrderAnswer.serializer(), answer.body)?.reason) {
-                "fence" -> MachineOutcome.Fenced
-                "busy" -> MachineOutcome.Busy
-                else -> MachineOutcome.Rejected("$reason")
-            }
-
+        CONFLICT -> refusal(decode(WireOrderAnswer.serializer(), answer.body)?.reason)
         MALFORMED -> MachineOutcome.Rejected("status $MALFORMED")
-        else -> MachineOutcome.TryLater
+        BUSY, UNAVAILABLE -> MachineOutcome.TryLater
+        else -> MachineOutcome.Unanswered("unclear answer, status ${answer.status}")
+    }
+
+private fun refusal(reason: String?): MachineOutcome =
+    when (reason) {
+        "fence" -> MachineOutcome.Fenced
+        "busy" -> MachineOutcome.Busy
+        "wave" -> MachineOutcome.Rejected(reason)
+        else -> MachineOutcome.Unanswered("refused for an unknown reason: $reason")
     }
 
 /** Reads a wave; null when the row is none. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -207,7 +207,8 @@
 
 @Serializable
 internal data class WireMachines(
-    @SerialName("Machines") val machines: List<WireMachine> = emptyList(),
+    // Without a default, as the state of a machine: an answer that lacks them names no machine that is gone.
+    @SerialName("Machines") val machines: List<WireMachine>,
     @SerialName("NextToken") val nextToken: String? = null,
 )
 
@@ -215,7 +216,7 @@
 internal data class WireMachine(
     @SerialName("Machine") val machine: String,
     @SerialName("Pool") val pool: String = "",
-    @SerialName("State") val state: String = "",
+    @SerialName("State") val state: String,
     @SerialName("Labels") val labels: List<String> = emptyList(),
     @SerialName("Id") val id: String? = null,
 )
