Stop late copies of an order in the next life of their worker

Callers would see: a task ran twice after a worker started again under its id (TWICE). Cause: runs of the life before were gone with it, also those whose order had a copy without an answer. That copy may be carried out seconds later, by the new life, which knows neither the run nor a stop that the life before answered. Evidence: both stories of OtherLifeTest failed before, with a start elsewhere at once. Change: such runs are stopped in the new life; their tasks start again when that stop is answered and a later listing lacks the run. Measured: both stories, JobEngineTest and JobEngineFuzzTest pass.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -54,6 +54,21 @@
         worker.storedEnd = 0
         worker.acknowledgedEnd = 0
         worker.leaseUntilWorkerMillis = longestLeaseEnd(listing)
+        stopLateCopies(worker, now)
+    }
+
+    // A copy of an order without an answer may still reach the new life, which knows neither the run nor an earlier stop.
+    private fun stopLateCopies(
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        worker.runs.values
+            .filter { it.isUncertain && it.phase != RunPhase.STARTING }
+            .forEach { run ->
+                run.stopConfirmedAtMillis = 0
+                run.stopOrderedAtMillis = now - state.limits.stopRepeatMillis
+                runs.stop(run, now)
+            }
     }
 
     // Orders that were sent before this life was known, or by earlier owners, may have granted leases.
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
@@ -0,0 +1,52 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+
+private const val JOB = "0000000000000001"
+private val task = TaskId(JOB, 0, 0, 0)
+
+class OtherLifeTest :
+    FunSpec({
+        test("a copy of an order that may still come is stopped in the next life before its task starts elsewhere") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val workerId = start.address.workerId
+            val runId = start.order.runId
+            engine.started(workerId, start.order, OrderOutcome.Unanswered("lost"), now = 500)
+            engine.listed(workerId, listing(running = listOf(running(task, runId))), 510, 520)
+            engine.decide(520, 0)
+            engine.listed(workerId, listing(clockMillis = 10, bornUnixMillis = BORN + 1), 600, 610)
+            val actions = engine.decide(610, 0)
+            actions.starts().shouldBeEmpty()
+            actions.stops().map { it.runId } shouldBe listOf(runId)
+            engine.stopped(workerId, task, runId, OrderOutcome.Done(20), now = 620)
+            engine.listed(workerId, listing(clockMillis = 30, bornUnixMillis = BORN + 1), 630, 640)
+            engine.decide(640, 0).starts() shouldHaveSize 1
+        }
+
+        test("a stop that the life before answered is ordered again in the next one") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val workerId = start.address.workerId
+            engine.started(workerId, start.order, OrderOutcome.Unanswered("lost"), now = 500)
+            engine.decide(500, 0)
+            val run =
+                engine.state.workers
+                    .getValue(workerId)
+                    .runs
+                    .getValue(task)
+            engine.stop(run, now = 510)
+            engine.stopped(workerId, task, start.order.runId, OrderOutcome.Done(1_520), now = 520)
+            engine.listed(workerId, listing(clockMillis = 10, bornUnixMillis = BORN + 1), 600, 610)
+            val actions = engine.decide(610, 0)
+            actions.starts().shouldBeEmpty()
+            actions.stops().last().runId shouldBe start.order.runId
+        }
+    })
