Drop a worker for another one of its machine only when that one has answered

Callers would see: tasks that run on a worker started again (TWICE): after a takeover a worker with runs was not waited for when the entry of an earlier life of its machine was read after its own and had a later start. Cause: of two workers of one machine the one with the earlier start was dropped as soon as the other was listed. The times of starts are told by clocks that may be set back, and an entry stays for some heartbeats after its worker is gone. Change: a worker goes when another one of its machine answers a call that was sent after it was seen and after its own last answer, whatever the times of starts say. An answer that was on its way before drops nobody.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -96,7 +96,6 @@
         if (known == null) {
             state.workers[listed.address.workerId] = WorkerEntry(listed, now)
             state.act(EngineAction.Watch(listed.address))
-            dropEarlierLives(listed, now)
             return
         }
         known.isListed = true
@@ -108,17 +107,20 @@
         }
     }
 
-    // A worker is one life of a machine, so that its runs ended when the next life began.
+    // A machine runs one worker at a time: one that was there before another one was asked, and has not answered since, is
+    // over when that one answers. The times of their starts prove nothing, since clocks may be set.
     private fun dropEarlierLives(
-        listed: ListedWorker,
+        heard: WorkerEntry,
+        sentAtMillis: Long,
         now: Long,
     ) {
-        if (listed.machineId.isEmpty()) return
+        val machineId = heard.listed.machineId
+        if (machineId.isEmpty()) return
         state.workers.values
-            .filter { it.listed.machineId == listed.machineId && it.id != listed.address.workerId }
-            .filter { it.listed.bornUnixMillis < listed.bornUnixMillis }
+            .filter { it !== heard && it.listed.machineId == machineId }
+            .filter { it.seenAtMillis < sentAtMillis && it.lastAnswerMillis < sentAtMillis }
             .toList()
-            .forEach { workers.drop(it, "a later life of machine '${listed.machineId}' is listed", now) }
+            .forEach { workers.drop(it, "a later life of machine '$machineId' has answered", now) }
     }
 
     /** Takes note that the platform's list no longer holds [workerId]. */
@@ -175,7 +177,11 @@
     ): Boolean {
         val worker = state.workers[workerId] ?: return true
         when (outcome) {
-            is ListingOutcome.Listed -> listings.read(worker, outcome.listing, sentAtMillis, now)
+            is ListingOutcome.Listed -> {
+                listings.read(worker, outcome.listing, sentAtMillis, now)
+                dropEarlierLives(worker, sentAtMillis, now)
+            }
+
             is ListingOutcome.Failed -> worker.firstFailureMillis = worker.firstFailureMillis ?: now
             is ListingOutcome.Unreadable -> unreadable(worker, outcome.cause, now)
             is ListingOutcome.Refused ->
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
@@ -10,6 +11,13 @@
 private const val JOB = "0000000000000001"
 private val task = TaskId(JOB, 0, 0, 0)
 
+private data class LifeCase(
+    val name: String,
+    val born: Long,
+    val isHeard: Boolean,
+    val isGone: Boolean,
+)
+
 class OtherLifeTest :
     FunSpec({
         test("a copy of an order that may still come is stopped in the next life before its task starts elsewhere") {
@@ -49,4 +57,43 @@
             actions.starts().shouldBeEmpty()
             actions.stops().last().runId shouldBe start.order.runId
         }
+
+        context("a worker is gone when another one of its machine has answered since, whatever their clocks say") {
+            withData(
+                nameFn = { it.name },
+                LifeCase("listed with a later start", BORN + 1, isHeard = false, isGone = false),
+                LifeCase("heard with a later start", BORN + 1, isHeard = true, isGone = true),
+                LifeCase(
+                    "heard with an earlier start, after the clock went back",
+                    BORN - 1,
+                    isHeard = true,
+                    isGone = true,
+                ),
+            ) { case ->
+                val engine = readyEngine("w1")
+                engine.accept(JOB, job(step(1)), now = 0)
+                val start = engine.decide(0, 0).starts().single()
+                engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
+                engine.list(worker("w2").copy(machineId = "m1", bornUnixMillis = case.born), now = 20)
+                if (case.isHeard) engine.listed("w2", listing(bornUnixMillis = case.born), 30, 40)
+                ("w1" !in engine.state.workers) shouldBe case.isGone
+            }
+        }
+
+        test("a worker that answers is not dropped for a stale entry of an earlier life of its machine") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
+            engine.list(worker("w0").copy(machineId = "m1", bornUnixMillis = BORN + 5), now = 20)
+            engine.decide(30, 0).starts().shouldBeEmpty()
+            ("w1" in engine.state.workers) shouldBe true
+        }
+
+        test("an answer on its way does not drop the next life of the machine") {
+            val engine = readyEngine("w1")
+            engine.list(worker("w2").copy(machineId = "m1", bornUnixMillis = BORN + 1), now = 40)
+            engine.listed("w1", listing(), sentAtMillis = 30, now = 50)
+            ("w2" in engine.state.workers) shouldBe true
+        }
     })
