Ask a worker at its new address, and believe no answer of the one before

Callers would see: tasks that run on a worker at its new address started again (TWICE) when another worker answered at the address that it had. Cause: the list's new address was used for orders, while renewals went on to the first one. A 421 from there dropped the worker with all runs, and so did an order's 421 that was sent before the change. Evidence: one story of OtherLifeTest failed before, with a start elsewhere after a 421 of the old address. Change: an answer counts only from the address that is listed, and for orders only if sent since the change. The driver of the address before ends; the worker is unheard until it answers at the new one, and each entry of the list asks for its driver. Measured: OtherLifeTest and JobEngineTest pass; no test drives WorkerDriver itself.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -8,6 +8,7 @@
 import org.verbenagauge.entry.jobs.ports.Renewal
 import org.verbenagauge.entry.jobs.ports.StartOrder
 import org.verbenagauge.entry.jobs.ports.StartRefusal
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 
@@ -100,11 +101,13 @@
         }
         known.isListed = true
         val isOtherLife = listed.bornUnixMillis != 0L && listed.bornUnixMillis != known.bornUnixMillis
+        val isMoved = listed.address != known.listed.address
         known.updateListed(listed)
-        if (isOtherLife && known.isHeard) {
-            known.isHeard = false
-            state.act(EngineAction.Watch(listed.address))
-        }
+        // Answers to what was sent to the address before tell nothing of the one at the new address.
+        if (isMoved) known.lifeSinceMillis = now
+        if (isOtherLife || isMoved) known.isHeard = false
+        // Again with each entry: a driver of the address before may have been there still.
+        if (!known.isHeard || known.firstFailureMillis != null) state.act(EngineAction.Watch(listed.address))
     }
 
     // A machine runs one worker at a time: one that was there before another one was asked, and has not answered since, is
@@ -168,14 +171,20 @@
         return !isHeard || isSilent || runs.isNotEmpty() || storedEnd < seenEnd || !isSettledEmpty()
     }
 
-    /** Takes in the outcome of a renewal of [workerId] that was sent at [sentAtMillis]; false after a higher epoch. */
+    /**
+     * Takes in the outcome of a renewal of [workerId] that was sent to [askedAddress] at [sentAtMillis]; false after a higher
+     * epoch.
+     */
     fun listed(
         workerId: String,
         outcome: ListingOutcome,
         sentAtMillis: Long,
         now: Long,
+        askedAddress: WorkerAddress? = null,
     ): Boolean {
         val worker = state.workers[workerId] ?: return true
+        val isFenced = outcome is ListingOutcome.Refused && outcome.refusal == StartRefusal.FENCED
+        if (!isFenced && askedAddress != null && askedAddress != worker.listed.address) return true
         when (outcome) {
             is ListingOutcome.Listed -> {
                 listings.read(worker, outcome.listing, sentAtMillis, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
@@ -41,12 +41,16 @@
         listings.close()
     }
 
-    /** Runs until the worker is gone or has seen a higher epoch. */
+    /** Runs until the worker is gone, has another address or has seen a higher epoch. */
     suspend fun run(
         writer: OwnerWriter,
         onListed: () -> Unit,
     ) {
-        while (!isFenced && workerId in engine.state.workers) {
+        while (!isFenced &&
+            engine.state.workers[workerId]
+                ?.listed
+                ?.address == address
+        ) {
             val now = clock.monotonicMillis()
             val renewal = engine.renewal(workerId, settings.listingWaitMillis, listings.isProven, now)
             if (renewal == null) {
@@ -58,7 +62,7 @@
                 continue
             }
             val outcome = listings.list(renewal)
-            isFenced = !engine.listed(workerId, outcome, now, clock.monotonicMillis())
+            isFenced = !engine.listed(workerId, outcome, now, clock.monotonicMillis(), address)
             onListed()
             pause(outcome, writer)
         }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
@@ -6,7 +6,9 @@
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.StartRefusal
 
 private const val JOB = "0000000000000001"
 private val task = TaskId(JOB, 0, 0, 0)
@@ -58,6 +60,25 @@
             actions.stops().last().runId shouldBe start.order.runId
         }
 
+        test("another worker at the address that a worker had says nothing of the worker at its new one") {
+            val engine = readyEngine("w1")
+            val before = worker("w1").address
+            val moved = worker("w1").copy(address = before.copy(port = 2), bornUnixMillis = BORN + 1)
+            engine.list(moved, now = 10)
+            engine.listed("w1", listing(bornUnixMillis = BORN + 1), 12, 14, moved.address)
+            engine.accept(JOB, job(step(1)), now = 20)
+            val start = engine.decide(20, 0).starts().single()
+            start.address shouldBe moved.address
+            engine.started("w1", start.order, OrderOutcome.Done(1_030), now = 30)
+            engine.list(worker("w2"), now = 30)
+            engine.listed("w2", listing(), 30, 30)
+            engine.listed("w1", ListingOutcome.Refused(StartRefusal.OTHER_LIFE), 40, 50, before)
+            engine.listed("w1", listing(bornUnixMillis = BORN + 2), 60, 70, before)
+            engine.decide(70, 0).starts().shouldBeEmpty()
+            engine.listed("w1", ListingOutcome.Refused(StartRefusal.OTHER_LIFE), 80, 90, moved.address)
+            engine.decide(90, 0).starts() shouldHaveSize 1
+        }
+
         context("a worker is gone when another one of its machine has answered since, whatever their clocks say") {
             withData(
                 nameFn = { it.name },
