--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -69,6 +69,7 @@
     WORKER_AVOIDED,
     WORKER_GONE,
     WORKER_RESTARTED,
+    LISTING_UNREADABLE,
 }
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -55,6 +55,21 @@
         worker.storedEnd = 0
         worker.acknowledgedEnd = 0
         worker.leaseUntilWorkerMillis = longestLeaseEnd(listing)
+        stopLateCopies(worker, now)
+    }
+
+    // A copy of an order without an answer may still reach the new life, which knows neither the run nor an earlier stop.
+    private fun stopLateCopies(
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        worker.runs.values
+            .filter { it.isUncertain && it.phase != RunPhase.STARTING }
+            .forEach { run ->
+                run.stopConfirmedAtMillis = 0
+                run.stopOrderedAtMillis = now - state.limits.stopRepeatMillis
+                runs.stop(run, now)
+            }
     }
 
     // Orders that were sent before this life was known, or by earlier owners, may have granted leases.
@@ -274,6 +289,8 @@
         sentAtMillis: Long,
         now: Long,
     ) {
+        // A run may be among the ends that found no room in the listing.
+        if (!listing.hasAllEnds) return
         val listed = listing.running.mapTo(HashSet()) { it.taskId to it.runId }
         worker.runs.values.toList().forEach { run ->
             val isCertain =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -37,7 +37,12 @@
 
             is OrderOutcome.Unanswered -> retry(worker, run, order, isUncertain = true)
             is OrderOutcome.NotSent ->
-                if (run.isUncertain) retry(worker, run, order, true) else giveUp(run, "not sent: ${outcome.cause}", now)
+                if (mayHaveBegun(run)) {
+                    retry(worker, run, order, isUncertain = false)
+                } else {
+                    giveUp(run, "not sent: ${outcome.cause}", now)
+                }
+
             is OrderOutcome.Refused -> return refused(worker, run, outcome.refusal, now)
         }
         return true
@@ -78,7 +83,9 @@
             // It began and has ended, which the worker lists, or it was stopped before it came.
             refusal == StartRefusal.OLD_RUN -> confirm(run, now)
             refusal == StartRefusal.OTHER_LIFE -> workers.drop(worker, "another worker answers at its address", now)
-            run.isUncertain && refusal != StartRefusal.LEASE_PASSED -> runs.stop(run, now)
+            // The worker has shown it, whatever a repeated order is told.
+            run.phase == RunPhase.RUNNING -> Unit
+            mayHaveBegun(run) -> runs.stop(run, now)
             else -> giveUp(run, "refused: $refusal", now)
         }
         return true
@@ -93,6 +100,10 @@
         runs.gone(run, evidence, now)
     }
 
+    // Only when a single copy of the order was sent does its refusal tell of the run. A copy without an answer may run under a
+    // lease that was prolonged since, or be carried out later, so that even a lease that has passed proves nothing.
+    private fun mayHaveBegun(run: Run) = run.isUncertain || run.confirmedAtMillis > 0
+
     /** Takes in the outcome of an order to stop; false after a higher epoch. */
     fun stopped(
         workerId: String,
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
@@ -0,0 +1,65 @@
+package org.verbenagauge.platform
+
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.StoredRow
+import org.verbenagauge.entry.jobs.ports.TransactionOutcome
+import org.verbenagauge.http.HttpOutcome
+import java.util.Base64
+
+private const val OK = 200
+private const val GONE = 410
+private const val CONDITION_FAILED = 412
+
+// Statuses that say that nothing was done.
+private val refusals = setOf(400, 403, 429, 503, 507)
+
+/** Reads the answer of the store to a transaction; one that is not clear tells no more than none. */
+internal fun readTransactionAnswer(answer: HttpOutcome.Answered): TransactionOutcome {
+    val unclear = TransactionOutcome.Unknown("unclear answer, status ${answer.status}")
+    return when (answer.status) {
+        OK ->
+            decode(WireApplied.serializer(), answer.body)?.let { TransactionOutcome.Applied(it.rowVersion) }
+                ?: unclear
+        CONDITION_FAILED -> conflict(answer.body) ?: unclear
+        in refusals -> TransactionOutcome.Unavailable("status ${answer.status}")
+        else -> unclear
+    }
+}
+
+private fun conflict(body: ByteArray): TransactionOutcome.Conflict? {
+    val rows = decode(WireConflict.serializer(), body)?.rows ?: return null
+    if (rows.any { it.rowVersion == null }) return null
+    return TransactionOutcome.Conflict(rows.map(::stored))
+}
+
+/** Reads the answer of the store to a reading of rows. */
+internal fun readRowsAnswer(outcome: HttpOutcome): ReadResult<WireRows> =
+    when (outcome) {
+        is HttpOutcome.Answered ->
+            when (outcome.status) {
+                OK -> rows(outcome.body)?.let { ReadResult.Read(it) } ?: ReadResult.Failed("unreadable answer")
+                GONE -> ReadResult.HistoryGone
+                else -> ReadResult.Failed("status ${outcome.status}")
+            }
+
+        is HttpOutcome.NotSent -> ReadResult.Failed(outcome.cause)
+        is HttpOutcome.Unanswered -> ReadResult.Failed(outcome.cause)
+    }
+
+// A row without its version would look as if it did not exist.
+private fun rows(body: ByteArray): WireRows? =
+    decode(WireRows.serializer(), body)?.takeIf { page -> page.rows.all { it.rowVersion != null } }
+
+/** Returns [row] as the rest of the system knows it. */
+internal fun stored(row: WireRow): StoredRow {
+    val value = row.value?.takeIf { !row.deleted }?.let(::decodeValue)
+    return StoredRow(row.table, row.key, value, row.rowVersion ?: 0)
+}
+
+// Another writer may have left bytes that are no base64; they read as an empty value.
+private fun decodeValue(text: String): ByteArray =
+    try {
+        Base64.getDecoder().decode(text)
+    } catch (_: IllegalArgumentException) {
+        ByteArray(0)
+    }
