Let leases pass of a worker that is not heard since its entry changed

Callers would see: a task that waits for ever, when the list shows its worker with another life or address and the worker never answers again. Cause: leases were only counted down on workers that are heard, and a change of the entry makes a worker unheard. Evidence: a story of OtherLifeTest failed before: nothing started elsewhere 6.4 s after the last answer. Change: leases pass on every worker that has answered in this epoch. Measured: OtherLifeTest, JobEngineTest, JobEngineFuzzTest, PartialListingTest and RefusedStartTest pass.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -277,7 +277,8 @@
     // A silent worker is counted on until every lease that it was sent has passed.
     private fun dropLapsed(now: Long) {
         state.workers.values.toList().forEach { worker ->
-            if (!worker.isHeard || !worker.hasSurelyLapsed(now, limits)) return@forEach
+            // Without any answer in this epoch nothing is known of its clock.
+            if (worker.bornUnixMillis == 0L || !worker.hasSurelyLapsed(now, limits)) return@forEach
             worker.runs.values
                 .filter { !worker.isListed || !mayStillBegin(it) }
                 .forEach { runs.gone(it, now) }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
@@ -117,4 +117,17 @@
             engine.listed("w1", listing(), sentAtMillis = 30, now = 50)
             ("w2" in engine.state.workers) shouldBe true
         }
+
+        test("the task of a worker that is listed at a new address and never answers there starts elsewhere in time") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
+            engine.list(worker("w2"), now = 10)
+            engine.listed("w2", listing(), 10, 10)
+            engine.list(worker("w1").copy(address = worker("w1").address.copy(port = 2)), now = 20)
+            engine.listed("w1", ListingOutcome.Failed("silent"), 30, 600)
+            engine.decide(6_200, 0).starts().shouldBeEmpty()
+            engine.decide(6_400, 0).starts() shouldHaveSize 1
+        }
     })
