Count the first answer to an order to stop, so that a run that never began lets its task go

Cause: a start without an answer, then refused, is stopped every 0.7 s; each answer moved the time of the stop, and a listing proves a run gone only when it was asked for after that. A quiet worker lists once a second, so no listing ever did. Change: the first answer of a life counts. An inherited job no longer waits for workers that came after its runs were known.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -16,7 +16,8 @@
         queue: QueueConfiguration,
         now: Long,
     ): Boolean {
-        if (queue.name in knownQueues && state.workers.values.none { !it.isHeard }) return true
+        // Workers that come later are not in the roster of an earlier owner, so that they hold none of its runs.
+        if (queue.name in knownQueues) return true
         val silent = state.workers.values.filter { !it.isHeard && mayHold(it, queue) }
         val areKnown = haveLapsed(now) || state.isListKnown && state.isRosterKnown && silent.isEmpty()
         if (areKnown && knownQueues.add(queue.name)) note(queue, silent, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -118,7 +118,8 @@
                 ?.runs
                 ?.get(taskId)
                 ?.takeIf { it.runId == runId } ?: return true
-        if (outcome is OrderOutcome.Done) run.stopConfirmedAtMillis = now
+        // The first answer counts: repeated stops are answered more often than quiet workers list.
+        if (outcome is OrderOutcome.Done && run.stopConfirmedAtMillis == 0L) run.stopConfirmedAtMillis = now
         return true
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
@@ -123,7 +123,7 @@
             engine.accept(JOB, job(step(1)), now = 0)
             val start = engine.decide(0, 0).starts().single()
             engine.started("w1", start.order, OrderOutcome.Done(1_000), now = 10)
-            engine.list(worker("w2"), now = 10)
+            engine.listRecorded(worker("w2"), now = 10)
             engine.listed("w2", listing(), 10, 10)
             engine.list(worker("w1").copy(address = worker("w1").address.copy(port = 2)), now = 20)
             engine.listed("w1", ListingOutcome.Failed("silent"), 30, 600)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/RefusedStartTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/RefusedStartTest.kt
@@ -145,4 +145,19 @@
             engine.listed("w1", listing(clockMillis = 7_200), 6_180, 6_200)
             engine.decide(6_200, 0).starts() shouldHaveSize 1
         }
+
+        test("a task starts again although its stop is answered more often than its quiet worker lists") {
+            val engine = readyEngine("w1")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val runId = start.order.runId
+            engine.started("w1", start.order, OrderOutcome.Unanswered("lost"), now = 500)
+            engine.decide(500, 0)
+            engine.started("w1", start.order, OrderOutcome.Refused(StartRefusal.UNHEALTHY), now = 600)
+            engine.stopped("w1", task, runId, OrderOutcome.Done(1_610), now = 610)
+            val listingSentMillis = 620L
+            engine.stopped("w1", task, runId, OrderOutcome.Done(2_310), now = 1_310)
+            engine.listed("w1", listing(clockMillis = 2_610), listingSentMillis, 1_620)
+            engine.decide(5_700, 0).starts() shouldHaveSize 1
+        }
     })
