Believe no answer to a stop that was sent to an earlier life of its worker

What callers would see: a task runs twice after its worker started again under its id. Cause: the answer of the life before to a stop, read after the new life was heard, counted for the new one, which knows of no stop and may still get a late copy of the order. Change: as for starts, the time of sending decides. Evidence: a case of OtherLifeTest is red without the line.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -282,14 +282,15 @@
         sentAtMillis: Long = now,
     ): Boolean = answers.started(workerId, order, outcome, now, sentAtMillis)
 
-    /** Takes in the outcome of an order to stop; false after a higher epoch. */
+    /** Takes in the outcome of an order to stop that was sent at [sentAtMillis]; false after a higher epoch. */
     fun stopped(
         workerId: String,
         taskId: TaskId,
         runId: Long,
         outcome: OrderOutcome,
         now: Long,
-    ): Boolean = answers.stopped(workerId, taskId, runId, outcome, now)
+        sentAtMillis: Long = now,
+    ): Boolean = answers.stopped(workerId, taskId, runId, outcome, now, sentAtMillis)
 
     /** Takes in tickets for the step [stepKey]; null when the advisor did not answer. */
     fun advised(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -104,20 +104,20 @@
     // lease that was prolonged since, or be carried out later, so that even a lease that has passed proves nothing.
     private fun mayHaveBegun(run: Run) = run.isUncertain || run.confirmedAtMillis > 0
 
-    /** Takes in the outcome of an order to stop; false after a higher epoch. */
+    /** Takes in the outcome of an order to stop that was sent at [sentAtMillis]; false after a higher epoch. */
     fun stopped(
         workerId: String,
         taskId: TaskId,
         runId: Long,
         outcome: OrderOutcome,
         now: Long,
+        sentAtMillis: Long,
     ): Boolean {
         if (outcome is OrderOutcome.Refused && outcome.refusal == StartRefusal.FENCED) return false
-        val run =
-            state.workers[workerId]
-                ?.runs
-                ?.get(taskId)
-                ?.takeIf { it.runId == runId } ?: return true
+        val worker = state.workers[workerId] ?: return true
+        val run = worker.runs[taskId]?.takeIf { it.runId == runId } ?: return true
+        // Perhaps an answer of the life before, whose stops the life of now does not know.
+        if (sentAtMillis < worker.lifeSinceMillis) return true
         // The first answer counts: repeated stops are answered more often than quiet workers list.
         if (outcome is OrderOutcome.Done && run.stopConfirmedAtMillis == 0L) run.stopConfirmedAtMillis = now
         return true
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -161,10 +161,11 @@
     private suspend fun stop(action: EngineAction.Stop) {
         val epoch = engine.state.epoch
         if (!writer.isLeaseValid()) return
+        val sentAtMillis = clock.monotonicMillis()
         val outcome = ports.workers.stop(action.address, action.taskId, action.runId, epoch)
         val now = clock.monotonicMillis()
         val workerId = action.address.workerId
-        keepOrEnd(engine.stopped(workerId, action.taskId, action.runId, outcome, now), workerId)
+        keepOrEnd(engine.stopped(workerId, action.taskId, action.runId, outcome, now, sentAtMillis), workerId)
     }
 
     private suspend fun pace(action: EngineAction.Pace) {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OtherLifeTest.kt
@@ -60,6 +60,22 @@
             actions.stops().last().runId shouldBe start.order.runId
         }
 
+        test("an answer to a stop that was sent to the life before says nothing of a late copy in the next one") {
+            val engine = readyEngine("w1", "w2")
+            engine.accept(JOB, job(step(1)), now = 0)
+            val start = engine.decide(0, 0).starts().single()
+            val workerId = start.address.workerId
+            val runId = start.order.runId
+            engine.started(workerId, start.order, OrderOutcome.Unanswered("lost"), now = 500)
+            engine.decide(500, 0)
+            engine.started(workerId, start.order, OrderOutcome.Refused(StartRefusal.UNHEALTHY), now = 510)
+            engine.listed(workerId, listing(clockMillis = 10, bornUnixMillis = BORN + 1), 600, 610)
+            engine.decide(610, 0)
+            engine.stopped(workerId, task, runId, OrderOutcome.Done(1_590), now = 620, sentAtMillis = 590)
+            engine.listed(workerId, listing(clockMillis = 30, bornUnixMillis = BORN + 1), 630, 640)
+            engine.decide(640, 0).starts().shouldBeEmpty()
+        }
+
         test("another worker at the address that a worker had says nothing of the worker at its new one") {
             val engine = readyEngine("w1")
             val before = worker("w1").address
