Wait until a worker has listed all of its ends before inherited tasks start

Cause: a worker counted as known with its first listing, although more than 500 ends may wait there and the rest comes only after the first ones are acknowledged. Change: a worker is known when a listing had room for all ends; while it answers, no time limit stands for that.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -9,8 +9,9 @@
     private val knownQueues = HashSet<String>()
 
     /**
-     * Whether all runs of earlier owners for [queue] are known: every worker that may hold one has answered under this
-     * epoch, whether it is listed now or was when something was ordered there, or every lease has passed.
+     * Whether all runs of earlier owners for [queue] are known: every worker that may hold one has listed all of its
+     * runs and ends under this epoch, whether it is on the list now or was when something was ordered there, or every
+     * lease has passed.
      */
     fun areKnown(
         queue: QueueConfiguration,
@@ -18,8 +19,10 @@
     ): Boolean {
         // Workers that come later are not in the roster of an earlier owner, so that they hold none of its runs.
         if (queue.name in knownQueues) return true
-        val silent = state.workers.values.filter { !it.isHeard && mayHold(it, queue) }
-        val areKnown = haveLapsed(now) || state.isListKnown && state.isRosterKnown && silent.isEmpty()
+        val silent = state.workers.values.filter { !it.isWhollyListed && mayHold(it, queue) }
+        // Leases of workers that answer are renewed, so that only their lists tell.
+        val areKnown =
+            if (haveLapsed(now)) silent.none { it.isHeard } else state.areWorkersKnown && silent.isEmpty()
         if (areKnown && knownQueues.add(queue.name)) note(queue, silent, now)
         return areKnown
     }
@@ -47,7 +50,7 @@
         silent: List<WorkerEntry>,
         now: Long,
     ) {
-        val heard = state.workers.values.filter { it.isHeard && mayHold(it, queue) }
+        val heard = state.workers.values.filter { it.isWhollyListed && mayHold(it, queue) }
         val unlisted = heard.filter { !it.isListed }.joinToString { it.id }.ifEmpty { "none" }
         val unheard = silent.joinToString { it.id }.ifEmpty { "none" }
         val tookMillis = now - state.startedAtMillis
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -31,6 +31,9 @@
 
     /** Whether the stored roster of workers was read whole. */
     var isRosterKnown = true
+
+    /** Whether every worker that may hold runs is known. */
+    val areWorkersKnown: Boolean get() = isListKnown && isRosterKnown
     private val actions = ArrayList<EngineAction>()
     private val changes = LinkedHashMap<String, JobChange?>()
     private val endings = HashMap<String, JobChange>()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -291,6 +291,7 @@
     ) {
         // A run may be among the ends that found no room in the listing.
         if (!listing.hasAllEnds) return
+        worker.isWhollyListed = true
         val listed = listing.running.mapTo(HashSet()) { it.taskId to it.runId }
         worker.runs.values.toList().forEach { run ->
             val isCertain =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -20,6 +20,9 @@
 
     /** Whether it has answered under this epoch, so that it refuses orders of earlier owners. */
     var isHeard = false
+
+    /** Whether all its runs and ends were listed once under this epoch; a listing has room for some hundred ends. */
+    var isWhollyListed = false
     var bornUnixMillis = 0L
 
     /** When the life that is known was first heard of. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
@@ -92,6 +92,23 @@
             engine.decide(10, 0).stops() shouldHaveSize 1
         }
 
+        test("an inherited task that is done waits for its end when a worker has more ends than one listing holds") {
+            val engine = secondOwner("w1", "w2")
+            engine.inherit(JOB, job(step(2)), progress = null, acceptedAtMillis = 0, now = 0)
+            val first = listOf(end(1, TaskId(JOB, 0, 0, 1), EARLIER_RUN, EndKind.DONE))
+            engine.listed("w1", listing(ended = first, hasAllEnds = false), 0, 5)
+            engine.listed("w2", listing(), 0, 5)
+            engine.decide(5, 0).starts().shouldBeEmpty()
+            engine.stored(engine.seenEnds())
+            engine.renewal("w1", 0, isProven = true, now = 10)?.acknowledged shouldBe 1
+            engine.listed("w1", listing(ended = listOf(end(2, task, EARLIER_RUN, EndKind.DONE))), 10, 20)
+            engine.decide(20, 0).starts().shouldBeEmpty()
+            engine.state
+                .takeChanges(10)
+                .single()
+                .state shouldBe JobState.COMPLETED
+        }
+
         test("an occurrence that an earlier owner saw as due and that is done does not run again when it is due here") {
             val schedule = JobSpecification("text", listOf(step(1)), repetitions = 2, 0, intervalMillis = 1_000)
             val engine = secondOwner("w1", "w2")
