--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/WorkerLife.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/WorkerLife.kt
@@ -121,8 +121,8 @@
                 else -> null
             }
         trace.add {
-            "${id.workerId} is told by ${sender.entryId} epoch ${order.fencingToken}, sent at ${sender.sentAtMillis}, " +
-                "to start ${order.taskId} run ${order.runId}: ${refusal ?: "yes"}"
+            val by = "${sender.entryId} epoch ${order.fencingToken}, sent at ${sender.sentAtMillis}"
+            "${id.workerId} is told by $by, to start ${order.taskId} run ${order.runId}: ${refusal ?: "yes"}"
         }
         highestToken = maxOf(highestToken, order.fencingToken)
         if (refusal == null || refusal == StartRefusal.OLD_RUN) prolong(order.leaseUntilWorkerMillis)
