--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.StepSpecification
+import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.EndKind
 import org.verbenagauge.entry.jobs.ports.ListedEnd
 import org.verbenagauge.entry.jobs.ports.ListedRun
@@ -66,15 +67,17 @@
     ) {
         val id = end.taskId ?: return
         val run = worker.runs[id]?.takeIf { it.runId <= end.runId }
-        val task = runs.taskOf(id)
+        if (state.isUnread(id.jobId)) state.unreadEnds.keep(UnreadEnd(worker.id, worker.bornUnixMillis, end, now))
+        val task = taskOf(id, now)
         if (end.kind != EndKind.DONE) {
             state.note(NoteKind.RUN_ENDED, id.toString(), "run ${end.runId} on ${worker.id}: ${end.kind}")
         }
-        if (run != null) runs.gone(run, now)
+        if (run != null) runs.gone(run, "ended ${end.kind}", now)
         if (task == null) return
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         when (end.kind) {
             EndKind.DONE -> {
+                noteDoubled(task, end, worker)
                 health.succeeded(worker)
                 if (run != null && run.runId == end.runId) {
                     learn(worker, task, run, now)
@@ -94,6 +97,73 @@
         }
     }
 
+    // An earlier owner may have seen an occurrence as due before its time has come by the clock of this machine.
+    private fun taskOf(
+        id: TaskId,
+        now: Long,
+    ): TaskEntry? {
+        val job = state.jobs[id.jobId] ?: return null
+        if (id.occurrence in 0 until job.specification.occurrenceCount) registry.open(job, id.occurrence, now)
+        return job.task(id)
+    }
+
+    /** Applies what workers have listed of the job [jobId] before it was read. */
+    fun jobRead(
+        jobId: String,
+        now: Long,
+    ) {
+        state.workers.values.forEach { worker ->
+            worker.runs.values
+                .filter { it.taskId.jobId == jobId && it.isUnread }
+                .forEach { attach(it, worker, now) }
+        }
+        state.unreadEnds.take(jobId).forEach { unread ->
+            state.workers[unread.workerId]?.let { ended(it, unread.end, now) }
+        }
+    }
+
+    private fun attach(
+        found: Run,
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        val task = taskOf(found.taskId, now)
+        if (task == null) {
+            found.isUnread = false
+            runs.stop(found, now)
+            return
+        }
+        runs.forget(found, worker)
+        val listed = ListedRun(found.taskId, found.runId, checkpoint = "", found.percent, found.figure)
+        adopt(worker, listed, now)
+    }
+
+    /** Stops runs of jobs that were not read although all jobs that may have been started are. */
+    fun stopUnwanted(now: Long) {
+        state.workers.values.forEach { worker ->
+            worker.runs.values
+                .filter {
+                    it.isUnread &&
+                        (!state.isUnread(it.taskId.jobId) || it.orderedAtMillis < state.workReadAsOfMillis)
+                }.forEach {
+                    it.isUnread = false
+                    runs.stop(it, now)
+                }
+        }
+    }
+
+    private fun noteDoubled(
+        task: TaskEntry,
+        end: ListedEnd,
+        worker: WorkerEntry,
+    ) {
+        if (task.step.specification.mayRunCopies || task.step.specification.isGang) return
+        val other = task.run
+        if (task.phase != TaskPhase.DONE && other == null) return
+        val beside = other?.let { "run ${it.runId} on ${it.workerId}, ${it.phase}" } ?: "an earlier end as done"
+        state.note(NoteKind.RUN_DOUBLED, task.id.toString(), "run ${end.runId} is done on ${worker.id} beside $beside")
+    }
+
     private fun learn(
         worker: WorkerEntry,
         task: TaskEntry,
@@ -161,7 +231,7 @@
         listed: ListedRun,
         now: Long,
     ) {
-        val task = runs.taskOf(listed.taskId)
+        val task = taskOf(listed.taskId, now)
         val specification = task?.step?.specification ?: UNKNOWN_STEP
         val team =
             task
@@ -175,7 +245,26 @@
         val isWanted = task != null && task.run == null && task.phase != TaskPhase.DONE
         runs.add(run, task.takeIf { isWanted }, worker)
         update(run, listed, now)
-        if (!isWanted) runs.stop(run, now)
+        noteFound(run, task, isWanted)
+        run.isUnread = state.isUnread(listed.taskId.jobId)
+        if (!isWanted && !run.isUnread) runs.stop(run, now)
+    }
+
+    private fun noteFound(
+        run: Run,
+        task: TaskEntry?,
+        isWanted: Boolean,
+    ) {
+        val found = "run ${run.runId} found on ${run.workerId}"
+        val other = task?.runs?.firstOrNull { it !== run }
+        when {
+            isWanted -> state.note(NoteKind.RUN_ADOPTED, run.taskId.toString(), found)
+            task == null -> state.note(NoteKind.RUN_ADOPTED, run.taskId.toString(), "$found; no open task")
+            else -> {
+                val beside = other?.let { "run ${it.runId} on ${it.workerId}, ${it.phase}" } ?: "${task.phase}"
+                state.note(NoteKind.RUN_DOUBLED, run.taskId.toString(), "$found beside $beside")
+            }
+        }
     }
 
     // A run that was confirmed before the worker was asked, and that it lists neither as running nor as ended.
@@ -195,7 +284,7 @@
                 }
             if (isCertain && (run.taskId to run.runId) !in listed) {
                 state.note(NoteKind.RUN_LOST, run.taskId.toString(), "run ${run.runId} is not listed by ${worker.id}")
-                runs.gone(run, now)
+                runs.gone(run, "not listed", now)
             }
         }
     }
