--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/EntryStore.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/EntryStore.kt
@@ -29,7 +29,7 @@
         changes: List<RowChange>,
         timeoutMillis: Long,
     ): TransactionOutcome {
-        val fate = trouble.fate(entryId)
+        val fate = trouble.fateOfWrite(entryId)
         val outcome =
             call(fate, timeoutMillis, TransactionOutcome.Unavailable("refused")) { store.apply(expectations, changes) }
                 ?: TransactionOutcome.Unknown("no answer in $timeoutMillis ms")
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/StoreTrouble.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/StoreTrouble.kt
@@ -35,6 +35,7 @@
     private var noisyUntilMillis = 0L
     private var laggingUntilMillis = 0L
     private val refusedUntilMillis = HashMap<String, Long>()
+    private val writesRefusedUntilMillis = HashMap<String, Long>()
 
     /** End of the last trouble that has begun. */
     var disturbedAtMillis = 0L
@@ -68,9 +69,21 @@
         refusedUntilMillis[entryId] = until(forMillis)
     }
 
+    /** Takes no writes of [entryId] for [forMillis]. */
+    fun refuseWrites(
+        entryId: String,
+        forMillis: Long,
+    ) {
+        writesRefusedUntilMillis[entryId] = until(forMillis)
+    }
+
     private fun until(forMillis: Long): Long =
         (time.nowMillis + forMillis).also { disturbedAtMillis = maxOf(disturbedAtMillis, it) }
 
+    /** What becomes of a write of [entryId] that is sent now. */
+    fun fateOfWrite(entryId: String): CallFate =
+        if (time.nowMillis < (writesRefusedUntilMillis[entryId] ?: 0)) refusedFates.random(random) else fate(entryId)
+
     /** What becomes of a call of [entryId] that is made now. */
     fun fate(entryId: String): CallFate =
         when {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverPlay.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverPlay.kt
@@ -49,6 +49,7 @@
     val kinds = ArrayList<String>()
     private var isCalm = false
     private var jobsOpen = 0
+    private var jobsMade = 0
 
     private fun machine(index: Int): WorkerMachine {
         val rate = 0.98 + plan.nextDouble() * 0.02
@@ -71,6 +72,7 @@
         entries.forEach { entry -> time.after(plan.nextLong(1_500)) { entry.start() } }
         val jobs = plan.nextInt(8, 26)
         jobsOpen = jobs
+        jobsMade = jobs
         repeat(jobs) { number -> time.after(plan.nextLong(500, TROUBLE_MILLIS)) { handIn(number) } }
         planTrouble()
         time.after(TROUBLE_MILLIS, ::calm)
@@ -100,13 +102,14 @@
         some(2, 5, "beats") { loseBeats() }
         some(3, 2, "store down") { trouble.takeDown(random.nextLong(300, 7_000)) }
         some(2, 4, "turned away") { refuseOne() }
+        some(2, 4, "suspected") { suspect() }
         some(2, 4, "store noise") { trouble.disturb(random.nextLong(500, 8_000)) }
         some(2, 4, "feed lag") { trouble.lag(random.nextLong(500, 6_000)) }
         some(2, 4, "unlisted") { machines.random(random).mute(random.nextLong(3_000, 14_000)) }
         some(3, 3, "crash") { crash() }
         some(2, 4, "wire noise") { wire.disturb(random.nextLong(500, 8_000)) }
         some(2, 5, "cut") { cutWorker() }
-        some(12, 4, "pages") { machines.random(random).life?.endOthers() }
+        some(40, 4, "pages") { machines.random(random).life?.endOthers() }
     }
 
     // Each kind of trouble comes in some seeds only, so that what breaks a rule is easier to tell.
@@ -136,12 +139,14 @@
 
     private fun kill() {
         val entry = ownerOrAny()
+        handInSome(3_000)
         entry.kill()
         time.after(random.nextLong(300, 5_000)) { entry.start() }
     }
 
     private fun stop() {
         val entry = ownerOrAny()
+        handInSome(2_000)
         val graceMillis = random.nextLong(500, 2_500)
         entry.stop(graceMillis)
         time.after(graceMillis + random.nextLong(100, 3_000)) { entry.start() }
@@ -161,6 +166,25 @@
         trouble.refuse(entry.id, forMillis)
     }
 
+    // The others take over while the lease of the owner is still valid.
+    private fun suspect() {
+        val owner = entries.firstOrNull { it.isOwner } ?: return
+        val forMillis = random.nextLong(900, 2_500)
+        trace.add { "entry ${owner.id} is not heard by the others and stores nothing for $forMillis ms" }
+        trouble.refuseWrites(owner.id, forMillis)
+        entries.filter { it !== owner }.forEach { wire.cut(owner.id, it.id, forMillis) }
+        handInSome(2_500)
+    }
+
+    // Around a change of the owner.
+    private fun handInSome(withinMillis: Long) {
+        repeat(random.nextInt(MOST_JOBS_AROUND)) {
+            jobsOpen++
+            val number = jobsMade++
+            time.after(random.nextLong(withinMillis)) { handIn(number) }
+        }
+    }
+
     private fun crash() {
         machines.random(random).crash(random.nextLong(200, 4_000), isRenamed = random.nextBoolean())
     }
@@ -269,6 +293,7 @@
         const val SETTLE_MILLIS = 9_000L
         const val LONGEST_DOWN_MILLIS = 500L
         const val OTHERS_ONE_IN = 5
+        const val MOST_JOBS_AROUND = 4
         const val PAUSE_STEPS = 30
         const val MOST_ATTEMPTS = 5
         const val CALL_MILLIS = 3_000L
