Keep the first confirmation of a stop, so that a run that never began is given up

What callers saw in the fuzz of takeovers: a task that never starts again, on a worker that is up and quiet. Cause: a run that is being stopped counts as gone when a listing that was sent after the confirmed stop does not hold it. Stops are repeated each 0.7 s and each confirmation replaced the one before; a listing without an end waits for 1 s. Change: the first confirmation holds in one life of the worker; a new life begins without one.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -49,6 +49,8 @@
         if (worker.bornUnixMillis != 0L) {
             worker.lifeSinceMillis = now
             state.note(NoteKind.WORKER_RESTARTED, worker.id, "${worker.runs.size} runs were known")
+            // The new life knows of no stop.
+            worker.runs.values.forEach { it.stopConfirmedAtMillis = 0 }
         }
         worker.bornUnixMillis = listing.bornUnixMillis
         worker.seenEnd = 0
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -107,7 +107,8 @@
                 ?.runs
                 ?.get(taskId)
                 ?.takeIf { it.runId == runId } ?: return true
-        if (outcome is OrderOutcome.Done) run.stopConfirmedAtMillis = now
+        // The first confirmation holds: stops are repeated more often than a quiet worker answers a listing.
+        if (outcome is OrderOutcome.Done && run.stopConfirmedAtMillis == 0L) run.stopConfirmedAtMillis = now
         return true
     }
 }
