Place nothing beside a run of which it is not known what it takes

What callers saw in the fuzz of takeovers: workers over their capacity after a takeover (rule LIMIT). Cause: a run of an ended job counted as the whole capacity of its worker as far as it was known; a worker of the roster has none until the platform's list names it, and gets room for everything then. Change: such a run is marked, and a worker that holds one gets no other.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -187,6 +187,9 @@
     /** Whether its job is not read yet; such a run is neither counted for a task nor stopped. */
     var isUnread = false
 
+    /** Whether it is not known what it takes, so that nothing is placed beside it. */
+    var takesAll = false
+
     /** Whether a copy of the order to start got no answer, so that it may be carried out late. */
     var isUncertain = false
     var percent = 0
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -241,9 +241,10 @@
                 ?.record
                 ?.teamName
                 .orEmpty()
-        // What a run of an unknown job takes is not known: nothing else fits beside it.
+        // What a run of an unknown job takes is not known, nor is the capacity of a worker that is not listed.
         val amount = if (task == null) worker.listed.capacity else specification.amount
         val run = Run(listed.taskId, listed.runId, worker.id, amount, team, specification, now)
+        run.takesAll = task == null
         val isWanted = task != null && task.run == null && task.phase != TaskPhase.DONE
         runs.add(run, task.takeIf { isWanted }, worker)
         update(run, listed, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -20,7 +20,7 @@
         val configuration = state.configuration ?: return
         val workersByService =
             state.workers.values
-                .filter { it.takesWork }
+                .filter { it.takesWork && !it.isFull }
                 .groupBy { it.listed.serviceName }
         val jobsByService = state.jobs.values.groupBy { it.queue.serviceName }
         state.wantedByService.clear()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -96,6 +96,9 @@
         listed = worker
     }
 
+    /** Whether something runs here of which it is not known what it takes. */
+    val isFull: Boolean get() = runs.values.any { it.takesAll }
+
     /** Whether no end waits for its acknowledgement. */
     fun isSettledEmpty(): Boolean = acknowledgedEnd >= seenEnd
 
