--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -49,14 +49,27 @@
         if (worker.bornUnixMillis != 0L) {
             worker.lifeSinceMillis = now
             state.note(NoteKind.WORKER_RESTARTED, worker.id, "${worker.runs.size} runs were known")
-            // The new life knows of no stop.
-            worker.runs.values.forEach { it.stopConfirmedAtMillis = 0 }
         }
         worker.bornUnixMillis = listing.bornUnixMillis
         worker.seenEnd = 0
         worker.storedEnd = 0
         worker.acknowledgedEnd = 0
         worker.leaseUntilWorkerMillis = longestLeaseEnd(listing)
+        stopLateCopies(worker, now)
+    }
+
+    // A copy of an order without an answer may still reach the new life, which knows neither the run nor an earlier stop.
+    private fun stopLateCopies(
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        worker.runs.values
+            .filter { it.isUncertain && it.phase != RunPhase.STARTING }
+            .forEach { run ->
+                run.stopConfirmedAtMillis = 0
+                run.stopOrderedAtMillis = now - state.limits.stopRepeatMillis
+                runs.stop(run, now)
+            }
     }
 
     // Orders that were sent before this life was known, or by earlier owners, may have granted leases.
@@ -277,6 +290,8 @@
         sentAtMillis: Long,
         now: Long,
     ) {
+        // A run may be among the ends that found no room in the listing.
+        if (!listing.hasAllEnds) return
         val listed = listing.running.mapTo(HashSet()) { it.taskId to it.runId }
         worker.runs.values.toList().forEach { run ->
             val isCertain =
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/WorkerLife.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/WorkerLife.kt
@@ -195,7 +195,9 @@
                 val share = FULL_PERCENT * (time.nowMillis - it.startedAtMillis) / it.durationMillis
                 ListedRun(it.order.taskId, it.order.runId, "", minOf(FULL_PERCENT, share).toInt(), 0)
             }
-        hold.onAnswer(ListingOutcome.Listed(WorkerListing(bornUnixMillis, clock(), runs, ends.take(PAGE_ENDS))))
+        val page = ends.take(PAGE_ENDS)
+        val listing = WorkerListing(bornUnixMillis, clock(), runs, page, hasAllEnds = page.size < PAGE_ENDS)
+        hold.onAnswer(ListingOutcome.Listed(listing))
     }
 
     /** Lists a page of ends whose task nobody can read before all that end later. */
