--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -9,22 +9,24 @@
 import kotlinx.serialization.json.JsonElement
 
 /** JSON of the platform: unknown fields are left out, empty ones are not written. */
-internal val wireJson =
+public val wireJson: Json =
     Json {
         ignoreUnknownKeys = true
         explicitNulls = false
         encodeDefaults = false
     }
 
+/** Room of a worker, what a task takes, or a limit. */
 @Serializable
-internal data class WireAmount(
+public data class WireAmount(
     @SerialName("Cpu") val cpu: Long = 0,
     @SerialName("MemMb") val memMb: Long = 0,
     @SerialName("Gpu") val gpu: Long = 0,
 )
 
+/** The operator's configuration. */
 @Serializable
-internal data class WireConfig(
+public data class WireConfig(
     @SerialName("Version") val version: Long,
     @SerialName("Routes") val routes: List<WireRoute> = emptyList(),
     @SerialName("Services") val services: List<WireService> = emptyList(),
@@ -32,8 +34,9 @@
     @SerialName("Limits") val limits: WireLimits = WireLimits(),
 )
 
+/** A queue. */
 @Serializable
-internal data class WireRoute(
+public data class WireRoute(
     @SerialName("Name") val name: String,
     @SerialName("Host") val host: String,
     @SerialName("PathPrefix") val pathPrefix: String,
@@ -46,22 +49,25 @@
     @SerialName("Advisor") val advisor: WireAdvice? = null,
 )
 
+/** Costs of advice on placement. */
 @Serializable
-internal data class WireAdvice(
+public data class WireAdvice(
     @SerialName("DecisionMs") val decisionMs: Double = 0.0,
     @SerialName("PerWorkerMs") val perWorkerMs: Double = 0.0,
     @SerialName("ValidityMs") val validityMs: Long = 0,
 )
 
+/** A service: a pool of workers. */
 @Serializable
-internal data class WireService(
+public data class WireService(
     @SerialName("Name") val name: String,
     @SerialName("EnforcesCapacity") val enforcesCapacity: Boolean = false,
     @SerialName("Standby") val standby: Boolean = false,
 )
 
+/** A tenant. */
 @Serializable
-internal data class WireTenant(
+public data class WireTenant(
     @SerialName("Name") val name: String,
     @SerialName("ApiKeys") val apiKeys: List<String> = emptyList(),
     @SerialName("Weight") val weight: Double = 0.0,
@@ -69,13 +75,15 @@
     @SerialName("MaxCount") val maxCount: WireAmount = WireAmount(),
 )
 
+/** Limits on calls. */
 @Serializable
-internal data class WireLimits(
+public data class WireLimits(
     @SerialName("MaxBodyBytes") val maxBodyBytes: Long = 262_144,
 )
 
+/** A job as clients send it. */
 @Serializable
-internal data class WireJob(
+public data class WireJob(
     @SerialName("Specification") val specification: String = "",
     @SerialName("Steps") val steps: List<WireStep> = emptyList(),
     @SerialName("Repetitions") val repetitions: Int = 0,
@@ -83,8 +91,9 @@
     @SerialName("IntervalMs") val intervalMs: Long = 0,
 )
 
+/** A step of a job. */
 @Serializable
-internal data class WireStep(
+public data class WireStep(
     @SerialName("Count") val count: Int = 0,
     @SerialName("Cpu") val cpu: Long = 0,
     @SerialName("MemMb") val memMb: Long = 0,
@@ -107,8 +116,9 @@
     @SerialName("MissAllowed") val missAllowed: Int? = null,
 )
 
+/** A worker's entry in the list. */
 @Serializable
-internal data class WireServer(
+public data class WireServer(
     @SerialName("Service") val service: String,
     @SerialName("Address") val address: String,
     @SerialName("Zone") val zone: String = "",
@@ -119,9 +129,10 @@
     val born: Long = 0,
 )
 
+/** A row of the store. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-internal data class WireRow(
+public data class WireRow(
     @SerialName("Table") val table: String,
     @EncodeDefault val part: String = "",
     @SerialName("Key") val key: String,
@@ -130,23 +141,27 @@
     @SerialName("Deleted") val deleted: Boolean = false,
 )
 
+/** A transaction. */
 @Serializable
-internal data class WireTransaction(
+public data class WireTransaction(
     // Rows with the version that each must have, despite its name.
     @SerialName("ExpectedRevision") val expected: List<WireRow>,
     @SerialName("Write") val write: List<WireRow>,
     @SerialName("Remove") val remove: List<WireRow>,
 )
 
+/** An answer about rows. */
 @Serializable
-internal data class WireRows(
+public data class WireRows(
     val rows: List<WireRow> = emptyList(),
     @SerialName("HasMore") val hasMore: Boolean = false,
     @SerialName("RowVersion") val rowVersion: Long = 0,
+    @SerialName("CurrentTimeMs") val currentTimeMs: Long = 0,
 )
 
+/** Order to start a run. */
 @Serializable
-internal data class WireStart(
+public data class WireStart(
     @SerialName("Task") val task: String,
     @SerialName("RunId") val runId: Long,
     @SerialName("Specification") val specification: String,
@@ -156,39 +171,44 @@
     @SerialName("Ticket") val ticket: String? = null,
 )
 
+/** Order to stop a run. */
 @Serializable
-internal data class WireStop(
+public data class WireStop(
     @SerialName("Task") val task: String,
     @SerialName("RunId") val runId: Long,
     @SerialName("FencingToken") val fencingToken: Long,
 )
 
+/** Order to pace a run. */
 @Serializable
-internal data class WirePace(
+public data class WirePace(
     @SerialName("Task") val task: String,
     @SerialName("RunId") val runId: Long,
     @SerialName("Percentage") val percentage: Int,
     @SerialName("FencingToken") val fencingToken: Long,
 )
 
+/** Renewal of the leases on a worker, and question for its runs. */
 @Serializable
-internal data class WireHold(
+public data class WireHold(
     @SerialName("FencingToken") val fencingToken: Long,
     @SerialName("AckCursor") val ackCursor: Long,
     @SerialName("DeadlineMs") val deadlineMs: Long? = null,
     @SerialName("WaitMs") val waitMs: Long? = null,
 )
 
+/** What a worker lists. */
 @Serializable
-internal data class WireHeld(
+public data class WireHeld(
     @SerialName("ClockMs") val clockMs: Long = 0,
     val born: Long = 0,
     @SerialName("Running") val running: List<JsonArray> = emptyList(),
     @SerialName("Finished") val finished: List<JsonArray> = emptyList(),
 )
 
+/** Answer to an order. */
 @Serializable
-internal data class WireOrderAnswer(
+public data class WireOrderAnswer(
     @SerialName("ClockMs") val clockMs: Long = 0,
     @SerialName("Reason") val reason: String = "",
 )
@@ -229,8 +249,9 @@
     @SerialName("MaxCount") val maxCount: Int = 1,
 )
 
+/** State of a job. */
 @Serializable
-internal data class WireState(
+public data class WireState(
     @SerialName("State") val state: String,
 )
 
