--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/EntryProcess.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/EntryProcess.kt
@@ -73,7 +73,7 @@
 
     private fun signal(name: String) {
         val pid = process?.takeIf { it.isAlive }?.pid() ?: return
-        ProcessBuilder("kill", "-$name", "$pid").start().waitFor()
+        SignalSender.send(name, pid)
     }
 
     /** Ends the process at once. */
@@ -103,3 +103,18 @@
         }
     }
 }
+
+/** Sends signals through one shell, since starting a process for each takes as long as some pauses. */
+private object SignalSender {
+    private val shell by lazy { ProcessBuilder("sh").start() }
+
+    @Synchronized
+    fun send(
+        name: String,
+        pid: Long,
+    ) {
+        shell.outputStream.write("kill -$name $pid; echo\n".encodeToByteArray())
+        shell.outputStream.flush()
+        shell.inputStream.read()
+    }
+}
