--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/EntryProcess.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/EntryProcess.kt
@@ -11,11 +11,13 @@
  *
  * @param storeAddress where the process finds the store.
  * @param folder where settings and output of the process go.
+ * @param classPath classes that the process runs.
  */
 internal class EntryProcess(
     val id: String,
     private val storeAddress: String,
     private val folder: Path,
+    private val classPath: String,
 ) {
     private val ports = freePorts()
 
@@ -39,7 +41,7 @@
         Files.writeString(settings, settingsText())
         val command =
             listOf(Path.of(System.getProperty("java.home"), "bin", "java").toString()) + javaFlags +
-                listOf("-cp", System.getProperty("java.class.path"), MAIN, "run", "--settings", settings.toString())
+                listOf("-cp", classPath, MAIN, "run", "--settings", settings.toString())
         process =
             ProcessBuilder(command)
                 .redirectErrorStream(true)
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Recorder.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Recorder.kt
@@ -75,6 +75,10 @@
     /** Violations so far. */
     val violations: List<Violation> @Synchronized get() = found.toList()
 
+    /** Longest time that the rig itself was held up. */
+    var longestStallMillis = 0L
+        private set
+
     /** Number of runs that began. */
     var startCount = 0
         private set
@@ -106,6 +110,14 @@
         note(RIG, text)
     }
 
+    /** Takes note that the rig itself was held up. */
+    @Synchronized
+    fun stalled(millis: Long) {
+        disturbedAtMillis = clock.nowMillis()
+        longestStallMillis = maxOf(longestStallMillis, millis)
+        note(RIG, "the rig was held up for $millis ms")
+    }
+
     // Rules with a time bound hold for machines in touch only.
     private fun isCalm() =
         activeFaults == 0 && clock.nowMillis() - disturbedAtMillis > limits.contactTimeoutMillis + limits.contactSpareMillis
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Soak.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Soak.kt
@@ -27,6 +27,7 @@
  * @property jobsPerSecond jobs that callers hand in.
  * @property plays names of the plays to draw from; empty for all.
  * @property folder where output of the processes goes.
+ * @property classPath classes that the entries run.
  */
 internal data class SoakSettings(
     val seed: Long,
@@ -36,6 +37,7 @@
     val jobsPerSecond: Int = 12,
     val plays: List<String> = emptyList(),
     val folder: Path = Path.of("target", "soak"),
+    val classPath: String = System.getProperty("java.class.path"),
 )
 
 /** What a soak showed; [traces] tell the course of each violation. */
@@ -58,6 +60,8 @@
     private val listedIds: MutableSet<String> = ConcurrentHashMap.newKeySet()
     private val timer = Executors.newScheduledThreadPool(2) { task -> Thread(task, "site").also { it.isDaemon = true } }
 
+    @Volatile private var tickedAtMillis = Long.MAX_VALUE
+
     /** Entry that the store last named as the owner; faults are aimed by it. */
     @Volatile var ownerId = ""
         private set
@@ -71,7 +75,7 @@
     val store = SoakStore(::owner)
     val storeLinks = List(settings.entryCount) { index -> Link(random.nextLong()) { ask -> store.handle(ask) { render(it, index) } } }
     val workers = List(settings.workerCount) { SoakWorker("i-$it", floor, settings.entryCount, Random(random.nextLong())) }
-    val entries = List(settings.entryCount) { EntryProcess("entry-$it", storeLinks[it].address, folder) }
+    val entries = List(settings.entryCount) { EntryProcess("entry-$it", storeLinks[it].address, folder, settings.classPath) }
     val callers = SoakCallers(entries, recorder, clock, settings.seed, settings.jobsPerSecond)
 
     private fun owner(
@@ -98,13 +102,21 @@
     fun start() {
         floor.workers += workers
         store.put("op", "config", wireJson.encodeToString(WireConfig.serializer(), configuration()))
-        timer.scheduleWithFixedDelay(floor::advance, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        timer.scheduleWithFixedDelay(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
         timer.scheduleWithFixedDelay(::report, 0, REPORT_LOOK_MILLIS, TimeUnit.MILLISECONDS)
         entries.forEach { it.start() }
         check(clock.await(START_MILLIS) { entries.all(::isReady) }) { "entries are not ready, see $folder" }
         callers.start()
     }
 
+    // A machine that is short of processor time holds up the rig as well: rules with a time bound do not count then.
+    private fun tick() {
+        val now = clock.nowMillis()
+        if (now - tickedAtMillis > STALL_MILLIS) recorder.stalled(now - tickedAtMillis)
+        tickedAtMillis = now
+        floor.advance()
+    }
+
     private fun configuration() =
         WireConfig(
             version = 1,
@@ -176,6 +188,7 @@
         const val SERVERS = "servers"
         const val OK = 200
         const val TICK_MILLIS = 5L
+        const val STALL_MILLIS = 150L
         const val REPORT_LOOK_MILLIS = 20L
         const val START_MILLIS = 30_000L
 
@@ -209,6 +222,6 @@
         Runtime.getRuntime().removeShutdownHook(endHook)
         val summary =
             "seed ${settings.seed}: ${recorder.acceptedCount} jobs accepted, ${recorder.startCount} runs began, " +
-                "${recorder.violations.size} violations"
+                "${recorder.violations.size} violations, the rig was held up for ${recorder.longestStallMillis} ms at most"
         SoakOutcome(recorder.violations, recorder.violations.map(recorder::trace), summary)
     }
