--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -11,7 +11,12 @@
 ) {
     val jobs = HashMap<String, JobEntry>()
     val workers = HashMap<String, WorkerEntry>()
+    val roster = WorkerRoster()
     val quota = QuotaLedger()
+    val unreadEnds = UnreadEnds()
+
+    /** Every job that was accepted before this time has been read. */
+    var workReadAsOfMillis = startedAtMillis
     val runTimes = RunTimes()
 
     /** What waits for room on workers of each service and for nothing else, as of the last decision. */
@@ -23,6 +28,9 @@
 
     /** Whether the platform's list of workers was read in this epoch. */
     var isListKnown = false
+
+    /** Whether the stored roster of workers was read whole. */
+    var isRosterKnown = true
     private val actions = ArrayList<EngineAction>()
     private val changes = LinkedHashMap<String, JobChange?>()
     private val endings = HashMap<String, JobChange>()
@@ -81,6 +89,9 @@
         if (earlyCancellations.size > REMEMBERED_ENDS) earlyCancellations.remove(earlyCancellations.first())
     }
 
+    /** Whether the job [id] may have been accepted and is not read yet. */
+    fun isUnread(id: String): Boolean = id !in jobs && !hasEnded(id)
+
     /** Whether the job [id] ended in this epoch. */
     fun hasEnded(id: String): Boolean = id in endedIds
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -17,6 +17,7 @@
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.jobs.records.RosterRecord
 import org.verbenagauge.entry.jobs.records.StateRecord
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
@@ -88,7 +89,8 @@
         current: JobsConfiguration,
     ) {
         val epoch = (seen.record?.epoch ?: 0) + 1
-        val record = OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis())
+        val record =
+            OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis(), keepsRoster = true)
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
             ports.store.transact(
@@ -105,6 +107,7 @@
         val chain = OwnerChain(ports.store, clock, record, outcome.version, sentAtMillis)
         val newEngine = JobEngine(record.epoch, limits(), clock.monotonicMillis())
         newEngine.configure(current)
+        newEngine.state.isRosterKnown = seen.record?.keepsRoster ?: true
         val janitor = Janitor(ports.store, clock)
         val workVersion = inherit(newEngine, janitor) ?: return
         serve(chain, newEngine, janitor, workVersion)
@@ -138,6 +141,7 @@
         val states = readAll(listOf(StoredTables.states)) ?: return null
         val work = readAll(StoredTables.work) ?: return null
         val progress = readAll(listOf(StoredTables.progress)) ?: return null
+        val roster = readAll(listOf(StoredTables.roster)) ?: return null
         states.rows.forEach { row ->
             val jobId = StoredTables.jobOf(row.key) ?: return@forEach
             val record = row.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
@@ -158,7 +162,17 @@
             newEngine.inherit(jobId, record, known, now - ageMillis, now)
         }
         work.rows.mapNotNull { StoredTables.cancelledOf(it.key) }.forEach { newEngine.cancel(it, now) }
-        log.write(Event.JOBS_INHERITED, "${work.rows.size} rows of work, ${progress.rows.size} of progress")
+        roster.rows.forEach { row ->
+            val record = row.value?.let { RecordCodec.decode(RosterRecord.serializer(), it) }
+            if (record != null) {
+                newEngine.recall(row.key, record, now)
+            } else {
+                newEngine.state.isRosterKnown = false
+                log.write(Event.DOCUMENT_UNREADABLE, row.key, "a worker of the roster; its leases are waited for")
+            }
+        }
+        val counts = "${work.rows.size} rows of work, ${progress.rows.size} of progress, ${roster.rows.size} of workers"
+        log.write(Event.JOBS_INHERITED, counts)
         return work.version
     }
 
