--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/Main.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/Main.kt
@@ -9,6 +9,13 @@
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val parser = ArgParser("verbenagauge-standin")
-    parser.subcommands(PlatformCommand(), EndpointsCommand(), SeedCommand(), CallersCommand(), JobsCommand(), SoakCommand())
+    parser.subcommands(
+        PlatformCommand(),
+        EndpointsCommand(),
+        SeedCommand(),
+        CallersCommand(),
+        JobsCommand(),
+        SoakCommand(),
+    )
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
@@ -11,7 +11,13 @@
     private val settings = site.settings
     private val random = Random(settings.seed * SEED_FACTOR)
     private val recorder = site.recorder
-    private val timer = Executors.newScheduledThreadPool(THREADS) { task -> Thread(task, "faults").also { it.isDaemon = true } }
+    private val timer =
+        Executors.newScheduledThreadPool(THREADS) { task ->
+            Thread(task, "faults").also {
+                it.isDaemon =
+                    true
+            }
+        }
     private var lifeCounter = settings.workerCount
 
     private val plays: Map<String, () -> Unit> =
@@ -73,7 +79,9 @@
     private fun indexOf(entry: EntryProcess) = site.entries.indexOf(entry)
 
     private fun someWorkers(most: Int): List<SoakWorker> =
-        site.workers.filter { it.isUp }.shuffled(random).sortedByDescending { it.runCount > 0 }.take(1 + random.nextInt(most))
+        site.workers.filter { it.isUp }.shuffled(random).sortedByDescending { it.runCount > 0 }.take(
+            1 + random.nextInt(most),
+        )
 
     private fun pause(
         entry: EntryProcess,
@@ -105,7 +113,10 @@
     ) {
         val link = site.storeLinks[indexOf(entry)]
         val refusal = refusals[random.nextInt(refusals.size)]
-        during("store turns ${entry.id} away ($refusal)", forMillis, { refuse(link, refusal) }, { link.faults.refusal = null })
+        during("store turns ${entry.id} away ($refusal)", forMillis, { refuse(link, refusal) }, {
+            link.faults.refusal =
+                null
+        })
     }
 
     private fun refuse(
@@ -120,7 +131,10 @@
     private fun unlist(
         worker: SoakWorker,
         forMillis: Long,
-    ) = during("${worker.id} is cut from the store", forMillis, { worker.reachesStore = false }, { worker.reachesStore = true })
+    ) = during("${worker.id} is cut from the store", forMillis, { worker.reachesStore = false }, {
+        worker.reachesStore =
+            true
+    })
 
     private fun cutPair(
         entry: EntryProcess,
@@ -255,7 +269,10 @@
         site.clock.await(OWNER_LEASE_MILLIS) { site.ownerId != before.id }
         slowStore(site.storeLinks - link, millis(20, 250), millis(500, 1_500))
         site.callers.burst(BURST_JOBS, BURST_MILLIS)
-        during("writes of ${before.id} hang", millis(800, 2_000), { link.faults.holdsWrites = true }, { link.faults.holdsWrites = false })
+        during("writes of ${before.id} hang", millis(800, 2_000), { link.faults.holdsWrites = true }, {
+            link.faults.holdsWrites =
+                false
+        })
         pass(millis(0, 200))
         before.resume()
         recorder.faultEnds("pause of ${before.id} is over")
@@ -279,7 +296,9 @@
     private fun crash(
         worker: SoakWorker,
         nextId: String,
-    ) = during("crash of ${worker.id}, then $nextId", millis(300, 6_000), { worker.end("crashes") }, { worker.begin(nextId) })
+    ) = during("crash of ${worker.id}, then $nextId", millis(300, 6_000), {
+        worker.end("crashes")
+    }, { worker.begin(nextId) })
 
     private fun drain(worker: SoakWorker) {
         val before = worker.id
@@ -326,7 +345,11 @@
                 3 -> someWorkers(2).forEach { crash(it, if (random.nextBoolean()) it.id else nextId()) }
                 4 -> pause(anyEntry(), millis(300, 8_000))
                 5 -> cutFromStore(anyEntry(), millis(500, 5_000))
-                6 -> (site.storeLinks + site.workers.flatMap { it.links }).filter { random.nextBoolean() }.forEach { it.silence() }
+                6 ->
+                    (site.storeLinks + site.workers.flatMap { it.links }).filter { random.nextBoolean() }.forEach {
+                        it
+                            .silence()
+                    }
                 7 -> someWorkers(2).forEach { unhealthy(it) }
                 8 -> site.store.dropHistory()
                 else -> loseOwner()
@@ -337,7 +360,10 @@
     }
 
     private fun unhealthy(worker: SoakWorker) =
-        during("${worker.id} refuses starts", millis(500, 4_000), { worker.isUnhealthy = true }, { worker.isUnhealthy = false })
+        during("${worker.id} refuses starts", millis(500, 4_000), { worker.isUnhealthy = true }, {
+            worker.isUnhealthy =
+                false
+        })
 
     private companion object {
         const val SEED_FACTOR = 31L
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Link.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Link.kt
@@ -204,7 +204,8 @@
 
         private fun write(reply: Reply) {
             val body = reply.body.encodeToByteArray()
-            val head = "HTTP/1.1 ${reply.status} X\r\nContent-Type: application/json\r\nContent-Length: ${body.size}\r\n\r\n"
+            val kind = "Content-Type: application/json"
+            val head = "HTTP/1.1 ${reply.status} X\r\n$kind\r\nContent-Length: ${body.size}\r\n\r\n"
             socket.getOutputStream().run {
                 write(head.encodeToByteArray() + body)
                 flush()
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Recorder.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Recorder.kt
@@ -120,7 +120,8 @@
 
     // Rules with a time bound hold for machines in touch only.
     private fun isCalm() =
-        activeFaults == 0 && clock.nowMillis() - disturbedAtMillis > limits.contactTimeoutMillis + limits.contactSpareMillis
+        activeFaults == 0 &&
+            clock.nowMillis() - disturbedAtMillis > limits.contactTimeoutMillis + limits.contactSpareMillis
 
     private fun violate(
         rule: String,
@@ -213,7 +214,9 @@
     fun openJobs(): List<String> =
         jobs
             .filterValues { job ->
-                job.acceptedAtMillis != null && job.cancelSentAtMillis == null && job.lastState !in FINAL_STATES &&
+                job.acceptedAtMillis != null &&
+                    job.cancelSentAtMillis == null &&
+                    job.lastState !in FINAL_STATES &&
                     job.specification.steps.none { it.longRunning }
             }.keys
             .toList()
@@ -264,7 +267,11 @@
             violate("TWICE", run.taskId, "run ${run.runId} on ${run.worker} beside run ${it.runId} on ${it.worker}")
         }
         earlier.firstOrNull { it.how == DONE && it.isNoted }?.let {
-            violate("TWICE", run.taskId, "run ${run.runId} on ${run.worker} after the noted end of ${it.runId} on ${it.worker}")
+            violate(
+                "TWICE",
+                run.taskId,
+                "run ${run.runId} on ${run.worker} after the noted end of ${it.runId} on ${it.worker}",
+            )
         }
     }
 
@@ -280,10 +287,18 @@
         val cancelledAtMillis = job.cancelledAtMillis
         val isCancelOver = cancelledAtMillis != null && run.startedAtMillis - cancelledAtMillis > limits.cancelMillis
         if (isCancelOver && isCalm() && !isLate) {
-            violate("UNASKED", run.taskId, "starts ${run.startedAtMillis - (cancelledAtMillis ?: 0)} ms after its cancelling")
+            violate(
+                "UNASKED",
+                run.taskId,
+                "starts ${run.startedAtMillis - (cancelledAtMillis ?: 0)} ms after its cancelling",
+            )
         }
         val failures = job.runs[run.taskId].orEmpty().count { it.how == FAILED && it.isNoted }
-        if (!step.longRunning && failures >= limits.maxAttempts) violate("BUDGET", run.taskId, "after $failures failed runs")
+        if (!step.longRunning &&
+            failures >= limits.maxAttempts
+        ) {
+            violate("BUDGET", run.taskId, "after $failures failed runs")
+        }
     }
 
     private fun judgeRoom(
@@ -330,7 +345,11 @@
         if (run.how != DONE) return
         val later = jobs[jobOf(run.taskId)]?.runs?.get(run.taskId).orEmpty()
         later.firstOrNull { it !== run && it.startedAtMillis >= endedAtMillis }?.let {
-            violate("TWICE", run.taskId, "run ${it.runId} on ${it.worker} began after run ${run.runId} was done, now noted")
+            violate(
+                "TWICE",
+                run.taskId,
+                "run ${it.runId} on ${it.worker} began after run ${run.runId} was done, now noted",
+            )
         }
     }
 
@@ -338,7 +357,12 @@
     @Synchronized
     fun finish() {
         jobs.filterValues { it.runs.isNotEmpty() && it.statuses.isNotEmpty() }.forEach { (id, job) ->
-            if (job.statuses.all { it in REFUSED }) violate("REFUSED", id, "ran although all attempts were refused: ${job.statuses}")
+            if (job.statuses.all {
+                    it in REFUSED
+                }
+            ) {
+                violate("REFUSED", id, "ran although all attempts were refused: ${job.statuses}")
+            }
         }
         openJobs().forEach { violate("LOST", it, "has not ended ${limits.finishMillis} ms after the last fault") }
     }
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Soak.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Soak.kt
@@ -73,9 +73,14 @@
     @Volatile var expiresWhileDown = true
 
     val store = SoakStore(::owner)
-    val storeLinks = List(settings.entryCount) { index -> Link(random.nextLong()) { ask -> store.handle(ask) { render(it, index) } } }
-    val workers = List(settings.workerCount) { SoakWorker("i-$it", floor, settings.entryCount, Random(random.nextLong())) }
-    val entries = List(settings.entryCount) { EntryProcess("entry-$it", storeLinks[it].address, folder, settings.classPath) }
+    val storeLinks =
+        List(
+            settings.entryCount,
+        ) { index -> Link(random.nextLong()) { ask -> store.handle(ask) { render(it, index) } } }
+    val workers =
+        List(settings.workerCount) { SoakWorker("i-$it", floor, settings.entryCount, Random(random.nextLong())) }
+    val entries =
+        List(settings.entryCount) { EntryProcess("entry-$it", storeLinks[it].address, folder, settings.classPath) }
     val callers = SoakCallers(entries, recorder, clock, settings.seed, settings.jobsPerSecond)
 
     private fun owner(
@@ -139,7 +144,12 @@
     /** Whether [entry] says that it can take calls. */
     fun isReady(entry: EntryProcess): Boolean =
         try {
-            val request = HttpRequest.newBuilder(URI("${entry.readinessBase}/v1/readiness")).timeout(Duration.ofSeconds(1)).build()
+            val request =
+                HttpRequest
+                    .newBuilder(
+                        URI("${entry.readinessBase}/v1/readiness"),
+                    ).timeout(Duration.ofSeconds(1))
+                    .build()
             readiness.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == OK
         } catch (_: java.io.IOException) {
             false
@@ -215,7 +225,12 @@
         val random = Random(settings.seed)
         // Jobs that callers have lost sight of are asked for as well.
         site.clock.await(RuleLimits().finishMillis) {
-            recorder.openJobs().onEach { site.callers.askOnce(it, random) }.isEmpty().also { if (!it) Thread.sleep(ASK_AGAIN_MILLIS) }
+            recorder
+                .openJobs()
+                .onEach {
+                    site.callers.askOnce(it, random)
+                }.isEmpty()
+                .also { if (!it) Thread.sleep(ASK_AGAIN_MILLIS) }
         }
         recorder.finish()
         Files.write(site.folder.resolve("timeline.txt"), recorder.timeline())
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCallers.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCallers.kt
@@ -30,7 +30,13 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofMillis(CONNECT_MILLIS))
             .build()
-    private val pool = Executors.newScheduledThreadPool(THREADS) { task -> Thread(task, "caller").also { it.isDaemon = true } }
+    private val pool =
+        Executors.newScheduledThreadPool(THREADS) { task ->
+            Thread(task, "caller").also {
+                it.isDaemon =
+                    true
+            }
+        }
     private val counter = AtomicLong()
 
     @Volatile private var isSending = false
@@ -74,8 +80,15 @@
         untilMillis: Long,
     ) {
         val body = wireJson.encodeToString(WireJob.serializer(), job)
-        val status = call("POST", jobId, body, random) { entry, answer -> recorder.submissionAnswered(jobId, answer, entry) }.first
-        val isToRepeat = status == null || status == BAD_GATEWAY || status == GATEWAY_TIMEOUT || random.nextInt(REPEAT_IN) == 0
+        val status =
+            call(
+                "POST",
+                jobId,
+                body,
+                random,
+            ) { entry, answer -> recorder.submissionAnswered(jobId, answer, entry) }.first
+        val isToRepeat =
+            status == null || status == BAD_GATEWAY || status == GATEWAY_TIMEOUT || random.nextInt(REPEAT_IN) == 0
         if (isToRepeat && clock.nowMillis() < untilMillis) {
             val delayMillis = if (status == OK) random.nextLong(LATE_REPEAT_MILLIS) else RETRY_MILLIS
             later(delayMillis) { submit(jobId, job, random, untilMillis) }
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCommand.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCommand.kt
@@ -12,7 +12,11 @@
     private val seconds by option(ArgType.Int, "seconds", description = "Time of faults").default(60)
     private val entries by option(ArgType.Int, "entries", description = "Number of entry processes").default(3)
     private val workers by option(ArgType.Int, "workers", description = "Number of workers").default(8)
-    private val plays by option(ArgType.String, "plays", description = "Names of plays, with commas; all if left out").default("")
+    private val plays by option(
+        ArgType.String,
+        "plays",
+        description = "Names of plays, with commas; all if left out",
+    ).default("")
 
     private val classPath by option(ArgType.String, "classpath", description = "Classes that the entries run")
 
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakWorker.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakWorker.kt
@@ -141,7 +141,8 @@
             born = bornUnixMillis,
         )
 
-    private fun clockMillis() = (TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - bornNanos) * clockRate).toLong() / MICROS
+    private fun clockMillis() =
+        (TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - bornNanos) * clockRate).toLong() / MICROS
 
     /** Lets time pass: ends what is done, stopped or lapsed. */
     fun advance() {
@@ -178,7 +179,11 @@
             when {
                 !isUp -> null
                 intended != null && intended != id -> Reply(OTHER_LIFE)
-                ask.path == "/v1/run-start" -> start(wireJson.decodeFromString(WireStart.serializer(), ask.body), ask.isLate)
+                ask.path == "/v1/run-start" ->
+                    start(
+                        wireJson.decodeFromString(WireStart.serializer(), ask.body),
+                        ask.isLate,
+                    )
                 ask.path == "/v1/run-stop" -> stop(wireJson.decodeFromString(WireStop.serializer(), ask.body))
                 ask.path == "/v1/hold" -> hold(wireJson.decodeFromString(WireHold.serializer(), ask.body))
                 ask.path == "/v1/pace" -> pace(wireJson.decodeFromString(WirePace.serializer(), ask.body))
@@ -210,7 +215,13 @@
                 order.deadlineMs <= clockMillis() -> "late"
                 else -> "begins"
             }
-        floor.recorder.ordered(id, order.task, order.runId, order.fencingToken, if (isLate) "$outcome, late" else outcome)
+        floor.recorder.ordered(
+            id,
+            order.task,
+            order.runId,
+            order.fencingToken,
+            if (isLate) "$outcome, late" else outcome,
+        )
         if (outcome == "fence" || outcome == "unhealthy") return refused(outcome)
         raise(order.fencingToken)
         if (outcome != "late") extend(order.deadlineMs)
@@ -249,7 +260,13 @@
         ends -= acknowledged.toSet()
         var leftNanos = TimeUnit.MILLISECONDS.toNanos(call.waitMs ?: 0)
         val life = bornUnixMillis
-        while (ends.isEmpty() && leftNanos > 0 && isUp && bornUnixMillis == life) leftNanos = changed.awaitNanos(leftNanos)
+        while (ends.isEmpty() &&
+            leftNanos > 0 &&
+            isUp &&
+            bornUnixMillis == life
+        ) {
+            leftNanos = changed.awaitNanos(leftNanos)
+        }
         val held =
             WireHeld(
                 clockMs = clockMillis(),
@@ -268,7 +285,8 @@
     private fun row(vararg fields: Any) =
         JsonArray(fields.map { if (it is Number) JsonPrimitive(it) else JsonPrimitive(it.toString()) })
 
-    private fun done() = Reply(OK, wireJson.encodeToString(WireOrderAnswer.serializer(), WireOrderAnswer(clockMillis())))
+    private fun done() =
+        Reply(OK, wireJson.encodeToString(WireOrderAnswer.serializer(), WireOrderAnswer(clockMillis())))
 
     private fun refused(reason: String): Reply {
         val answer = WireOrderAnswer(clockMillis(), reason)
