--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
@@ -1,5 +1,8 @@
 package org.verbenagauge.standin.soak
 
+import kotlinx.serialization.json.JsonPrimitive
+import org.verbenagauge.platform.WireJob
+import org.verbenagauge.platform.WireStep
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -26,6 +29,7 @@
             "slow-takeover" to ::slowTakeover,
             "outage" to ::outage,
             "woken-owner" to ::wokenOwner,
+            "many-ends" to ::manyEnds,
             "late-grants" to ::lateGrants,
             "cut-takeover" to ::cutTakeover,
             "restarts" to ::restarts,
@@ -279,6 +283,20 @@
         pass(millis(2_500, 4_000))
     }
 
+    // H3: more ends on one worker than one answer holds, when the owner changes.
+    private fun manyEnds() {
+        val worker = site.workers.filter { it.isUp }.random(random)
+        val label = JsonPrimitive(worker.label)
+        val step = WireStep(MANY_TASKS, cpu = 4, memMb = 1, estimatedMs = MANY_MILLIS, requirements = label)
+        site.callers.handIn(WireJob("sleep $MANY_MILLIS", listOf(step)))
+        pass(MANY_MILLIS - millis(0, 600))
+        val before = owner()
+        cutPair(before, worker, millis(4_000, 6_000))
+        pass(millis(1_000, 2_000))
+        if (random.nextBoolean()) kill(before) else pause(before, millis(2_000, 4_000))
+        pass(millis(4_000, 6_000))
+    }
+
     private fun restarts() {
         someWorkers(2).forEach { worker ->
             if (random.nextBoolean()) {
@@ -374,6 +392,10 @@
         // Longer than any fault lasts.
         const val LONGEST_MILLIS = 30_000L
         const val OWNER_LEASE_MILLIS = 1_450L
+
+        // Ends in one answer are 500 (PROTOCOL, Running tasks).
+        const val MANY_TASKS = 800
+        const val MANY_MILLIS = 4_000L
         const val BURST_JOBS = 20
         const val BURST_MILLIS = 500L
         const val LOSSES = 7
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCallers.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCallers.kt
@@ -45,14 +45,14 @@
     fun start() {
         isSending = true
         val gapMillis = MILLIS_PER_SECOND / jobsPerSecond
-        pool.scheduleAtFixedRate({ if (isSending) pool.execute(::runJob) }, 0, gapMillis, TimeUnit.MILLISECONDS)
+        pool.scheduleAtFixedRate({ if (isSending) pool.execute { runJob() } }, 0, gapMillis, TimeUnit.MILLISECONDS)
     }
 
     /** Hands in [jobs] more, spread over [millis]. */
     fun burst(
         jobs: Int,
         millis: Long,
-    ) = repeat(jobs) { later(it * millis / jobs, ::runJob) }
+    ) = repeat(jobs) { later(it * millis / jobs) { runJob() } }
 
     /** Hands in no more jobs; those that are handed in are asked for further. */
     fun stopSending() {
@@ -64,11 +64,14 @@
         pool.shutdownNow()
     }
 
-    private fun runJob() {
+    /** Hands [job] in, without waiting for the answer. */
+    fun handIn(job: WireJob) = pool.execute { runJob(job) }
+
+    private fun runJob(given: WireJob? = null) {
         val number = counter.incrementAndGet()
         val random = Random(seed * JOBS_PER_SEED + number)
         val jobId = "%016x".format(seed * JOBS_PER_SEED + number)
-        val job = drawJob(random, number)
+        val job = given ?: drawJob(random, number)
         recorder.submitted(jobId, job)
         submit(jobId, job, random, clock.nowMillis() + SUBMIT_MILLIS)
     }
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakWorker.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakWorker.kt
@@ -64,6 +64,9 @@
     private var bornUnixMillis = 0L
     private var clockRate = 1.0
 
+    /** Label that only this worker has. */
+    val label = "only-$firstId"
+
     /** Id of the life that runs now. */
     @Volatile var id = firstId
         private set
@@ -136,7 +139,7 @@
             zone = "zone-0",
             state = if (isDraining) "draining" else "ready",
             capacity = capacity,
-            labels = listOf("r1-1"),
+            labels = listOf("r1-1", label),
             machine = "m-$id",
             born = bornUnixMillis,
         )
