Ask a worker at its new address at once

What callers would see: a worker that is listed at another address gets no work, and its runs no renewal, until its next entry, up to 1.5 s later. Cause: the driver of the address before was still there when the new one was to begin. Change: the driver is replaced, and one that is closed ends.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -183,6 +183,7 @@
         scope: CoroutineScope,
         address: WorkerAddress,
     ) {
+        if (drivers[address.workerId]?.address != address) drivers.remove(address.workerId)?.close()
         val driver =
             drivers.getOrPut(address.workerId) {
                 WorkerDriver(address, ports.workers.listings(address), engine, clock, settings).also {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
@@ -11,7 +11,7 @@
 
 /** Renews the leases on one worker and lists its runs, as long as it has any. */
 internal class WorkerDriver(
-    private val address: WorkerAddress,
+    val address: WorkerAddress,
     private val listings: WorkerListings,
     private val engine: JobEngine,
     private val clock: Clock,
@@ -35,10 +35,11 @@
         signal.trySend(Unit)
     }
 
-    /** Closes the connection. */
+    /** Ends the driver. */
     fun close() {
         isClosed = true
         listings.close()
+        wake()
     }
 
     /** Runs until the worker is gone, has another address or has seen a higher epoch. */
@@ -46,11 +47,7 @@
         writer: OwnerWriter,
         onListed: () -> Unit,
     ) {
-        while (!isFenced &&
-            engine.state.workers[workerId]
-                ?.listed
-                ?.address == address
-        ) {
+        while (!isClosed && !isFenced && isDriven()) {
             val now = clock.monotonicMillis()
             val renewal = engine.renewal(workerId, settings.listingWaitMillis, listings.isProven, now)
             if (renewal == null) {
@@ -69,6 +66,11 @@
         close()
     }
 
+    private fun isDriven(): Boolean =
+        engine.state.workers[workerId]
+            ?.listed
+            ?.address == address
+
     private suspend fun pause(
         outcome: ListingOutcome,
         writer: OwnerWriter,
