Wait for all pages of ends before an inherited task starts again

Cause: a worker counted as heard after its first answer; ends that found no room in that answer were not known. Change: inherited tasks wait for a listing that holds all ends of the worker, at most until every lease has passed.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -18,7 +18,7 @@
     ): Boolean {
         // Workers that come later are not in the roster of an earlier owner, so that they hold none of its runs.
         if (queue.name in knownQueues) return true
-        val silent = state.workers.values.filter { !it.isHeard && mayHold(it, queue) }
+        val silent = state.workers.values.filter { !(it.isHeard && it.hasListedAllEnds) && mayHold(it, queue) }
         val areKnown = haveLapsed(now) || state.isListKnown && state.isRosterKnown && silent.isEmpty()
         if (areKnown && knownQueues.add(queue.name)) note(queue, silent, now)
         return areKnown
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -29,6 +29,7 @@
             val lists = "${listing.running.size} runs and ${listing.ended.size} ends listed"
             state.note(NoteKind.WORKER_HEARD, worker.id, "epoch ${state.epoch}, born ${listing.bornUnixMillis}, $lists")
         }
+        if (listing.hasAllEnds) worker.hasListedAllEnds = true
         worker.readClock(listing.clockMillis, now)
         listing.ended.sortedBy { it.number }.forEach { end ->
             if (end.number > worker.seenEnd) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -20,6 +20,9 @@
 
     /** Whether it has answered under this epoch, so that it refuses orders of earlier owners. */
     var isHeard = false
+
+    /** Whether it has listed, under this epoch, all ends of before: they come a page at a time. */
+    var hasListedAllEnds = false
     var bornUnixMillis = 0L
 
     /** When the life that is known was first heard of. */
