--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTakeoverFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTakeoverFuzzTest.kt
@@ -5,7 +5,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 
 private const val FIRST_SEED = 1L
-private const val SEEDS = 100L
+private const val SEEDS = 250L
 
 // Another range of seeds is played by hand: -DtakeoverSeeds=1000..4000
 private fun seeds(): LongRange {
