--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -19,7 +19,7 @@
     ): Boolean {
         // Workers that come later are not in the roster of an earlier owner, so that they hold none of its runs.
         if (queue.name in knownQueues) return true
-        val silent = state.workers.values.filter { !it.isWhollyListed && mayHold(it, queue) }
+        val silent = state.workers.values.filter { mayHold(it, queue) && !hasToldAll(it) }
         // Leases of workers that answer are renewed, so that only their lists tell.
         val areKnown =
             if (haveLapsed(now)) silent.none { it.isHeard } else state.areWorkersKnown && silent.isEmpty()
@@ -32,6 +32,8 @@
         queue: QueueConfiguration,
     ) = worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
 
+    private fun hasToldAll(worker: WorkerEntry) = worker.isHeard && worker.isWhollyListed
+
     /**
      * Whether every lease that was sent before [sinceMillis], or within the lease of an owner after it, has passed,
      * however slow the clock of the worker is.
@@ -50,7 +52,7 @@
         silent: List<WorkerEntry>,
         now: Long,
     ) {
-        val heard = state.workers.values.filter { it.isWhollyListed && mayHold(it, queue) }
+        val heard = state.workers.values.filter { mayHold(it, queue) && hasToldAll(it) }
         val unlisted = heard.filter { !it.isListed }.joinToString { it.id }.ifEmpty { "none" }
         val unheard = silent.joinToString { it.id }.ifEmpty { "none" }
         val tookMillis = now - state.startedAtMillis
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
@@ -1,8 +1,6 @@
 package org.verbenagauge.entry.jobs.owner
 
 import kotlinx.coroutines.launch
-import org.apache.logging.log4j.Level
-import org.apache.logging.log4j.core.config.Configurator
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.front.CancelOutcome
 import org.verbenagauge.entry.jobs.front.JobFront
@@ -16,11 +14,8 @@
 import org.verbenagauge.platform.PlatformWorkerList
 import kotlin.random.Random
 
-/** Log of all entries of a play; a play makes more lines than anyone reads. */
-internal val fuzzLog: EventLog by lazy {
-    Configurator.setLevel("verbenagauge", Level.OFF)
-    EventLog("fuzz")
-}
+/** Log of all entries of a play. */
+internal val fuzzLog: EventLog by lazy { EventLog("fuzz") }
 
 /**
  * What all entries of a play share.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTakeoverFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTakeoverFuzzTest.kt
@@ -3,9 +3,13 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.core.config.Configurator
 
+private const val LOGGER = "verbenagauge"
 private const val FIRST_SEED = 1L
-private const val SEEDS = 100L
+private const val SEEDS = 250L
 
 // Another range of seeds is played by hand: -DtakeoverSeeds=1000..4000
 private fun seeds(): LongRange {
@@ -29,6 +33,12 @@
 
 class OwnerTakeoverFuzzTest :
     FunSpec({
+        val level = LogManager.getLogger(LOGGER).level
+
+        // A play makes more lines than anyone reads.
+        beforeSpec { Configurator.setLevel(LOGGER, Level.OFF) }
+        afterSpec { Configurator.setLevel(LOGGER, level) }
+
         test("under takeovers and late answers no rule is broken and every accepted job ends") {
             val isSurvey = System.getProperty("takeoverSurvey") != null
             val found = LinkedHashMap<Breach, ArrayList<Long>>()
