Close a connection after an answer that does not tell where it ends

What callers would see: an answer that belongs to the call before, such as another worker's list of runs. Cause: an answer without length and not in chunks, or an interim one, left its bytes in the connection, which was used again. Change: such a connection is closed; nothing of it is proven. Evidence: two cases of HttpConnectionTest are red without it.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpConnection.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpConnection.kt
@@ -90,8 +90,9 @@
         val response = parseResponse(reader) ?: return closed()
         try {
             val body = body(response, reader)
-            if (response.headers["Connection"]?.toString().equals("close", ignoreCase = true)) close()
-            isProven = true
+            val isLast = response.headers["Connection"]?.toString().equals("close", ignoreCase = true)
+            // What follows a head that does not tell where the answer ends would be read by the next call.
+            if (isLast || !hasKnownEnd(response)) close() else isProven = true
             return HttpOutcome.Answered(response.status, body)
         } finally {
             response.release()
@@ -103,6 +104,11 @@
         return HttpOutcome.Unanswered("$host:$port closed the connection")
     }
 
+    private fun hasKnownEnd(response: Response): Boolean =
+        response.headers["Content-Length"] != null ||
+            response.headers["Transfer-Encoding"] != null ||
+            response.status in bodiless
+
     private suspend fun body(
         response: Response,
         reader: ByteReadChannel,
@@ -160,5 +166,8 @@
         // A round trip takes some milliseconds; a lost opening packet is sent again after a second.
         const val CONNECT_TIMEOUT_MILLIS = 600L
         const val HEAD_CHARS = 256
+
+        // No content and not modified, RFC 9110, which end with their head.
+        val bodiless = setOf(204, 304)
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/http/HttpConnectionTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/http/HttpConnectionTest.kt
@@ -58,6 +58,14 @@
                     "unanswered",
                     false,
                 ),
+                AnswerCase("without a length", "HTTP/1.1 200 OK\r\nx: keep\r\n\r\nhi", "200 ", false),
+                AnswerCase(
+                    "that another one follows",
+                    "HTTP/1.1 100 Continue\r\nx: keep\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    "100 ",
+                    false,
+                ),
+                AnswerCase("without content", "HTTP/1.1 204 No Content\r\nx: keep\r\n\r\n", "204 ", true),
                 AnswerCase("cut off in its head", "HTTP/1.1 200", "unanswered", false),
                 AnswerCase("that never comes", null, "unanswered", false),
             ) { case ->
