Reproduce a job of the earlier owner that counts as new after a slow takeover

What callers would see: a task runs twice at once (TWICE). Cause: WorkFollower begins with the time of its own start as the time up to which jobs were read; they were read before that, by as much as progress and roster took.

--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/JobsOfASlowTakeoverTest.kt
@@ -0,0 +1,91 @@
+package org.verbenagauge.entry.jobs.owner
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.MemoryRowStore
+import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.configuration
+import org.verbenagauge.entry.jobs.engine.job
+import org.verbenagauge.entry.jobs.engine.listRecorded
+import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.starts
+import org.verbenagauge.entry.jobs.engine.step
+import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowFeed
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StoredRow
+import org.verbenagauge.entry.jobs.records.JobRecord
+import org.verbenagauge.entry.jobs.records.RecordCodec
+
+private const val JOB = "0000000000000001"
+private const val WORK_READ_VERSION = 5L
+
+/** A store whose feed tells of a job that was stored right after the accepted jobs were read. */
+private class OneJobLater : RowStore by MemoryRowStore() {
+    override fun feed(table: String): RowFeed =
+        object : RowFeed {
+            override suspend fun changesAfter(
+                version: Long,
+                waitMillis: Long,
+            ): ReadResult<RowBatch> {
+                delay(5)
+                if (version > WORK_READ_VERSION) awaitCancellation()
+                val value = RecordCodec.encode(JobRecord.serializer(), job(step(1)))
+                val row = StoredRow(table, StoredTables.jobKey(JOB), value, WORK_READ_VERSION + 1)
+                return ReadResult.Read(RowBatch(listOf(row), WORK_READ_VERSION + 1))
+            }
+
+            override fun close() = Unit
+        }
+}
+
+private data class TakeoverCase(
+    val name: String,
+    val readingMillis: Long,
+)
+
+// Incident 003: a job that was stored while a new owner read what it inherits, and that the earlier owner started.
+@OptIn(ExperimentalCoroutinesApi::class)
+class JobsOfASlowTakeoverTest :
+    FunSpec({
+        context("a job that was stored after the accepted jobs were read waits for all workers") {
+            withData(
+                nameFn = { it.name },
+                TakeoverCase("when the rest was read quickly", readingMillis = 100),
+                TakeoverCase("when the rest was read after the earlier owner's lease", readingMillis = 2_000),
+            ) { case ->
+                runTest {
+                    val clock =
+                        object : Clock {
+                            override fun monotonicMillis() = testScheduler.currentTime
+
+                            override fun wallMillis() = testScheduler.currentTime
+                        }
+                    val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
+                    engine.configure(configuration())
+                    engine.state.isListKnown = true
+                    // Accepted jobs are read here; states, progress and roster take their time.
+                    advanceTimeBy(case.readingMillis)
+                    val follower = WorkFollower(OneJobLater(), engine, clock, WORK_READ_VERSION) { }
+                    val running = backgroundScope.launch { follower.run() }
+                    listOf("w1", "w2").forEach { engine.listRecorded(worker(it), clock.monotonicMillis()) }
+                    engine.listed("w2", listing(), clock.monotonicMillis(), clock.monotonicMillis())
+                    advanceTimeBy(50)
+                    running.cancel()
+                    engine.state.jobs.containsKey(JOB) shouldBe true
+                    engine.decide(clock.monotonicMillis(), 0).starts().size shouldBe 0
+                }
+            }
+        }
+    })
