Reproduce owners that take the duty from each other while the store is slow

What callers would see: nothing starts while the store is slow. Cause: a new owner does not renew its row while it reads four tables one after the other.

--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoversWhileTheStoreIsSlowTest.kt
@@ -0,0 +1,186 @@
+package org.verbenagauge.entry.jobs.owner
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.MemoryRowStore
+import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.configuration
+import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.running
+import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.front.StateCatalogue
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.ListedWorker
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.Renewal
+import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowExpectation
+import org.verbenagauge.entry.jobs.ports.RowFeed
+import org.verbenagauge.entry.jobs.ports.RowPlace
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StartOrder
+import org.verbenagauge.entry.jobs.ports.TransactionOutcome
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
+import org.verbenagauge.entry.jobs.ports.WorkerGateway
+import org.verbenagauge.entry.jobs.ports.WorkerList
+import org.verbenagauge.entry.jobs.ports.WorkerListings
+import org.verbenagauge.entry.jobs.records.OwnerRecord
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
+
+/** A store that takes [readMillis] for each read of whole tables and [writeMillis] for each write. */
+private class SlowStore(
+    val rows: MemoryRowStore,
+    private val readMillis: Long,
+    private val writeMillis: Long,
+) : RowStore by rows {
+    override suspend fun transact(
+        expectations: List<RowExpectation>,
+        changes: List<RowChange>,
+        timeoutMillis: Long,
+    ): TransactionOutcome {
+        delay(writeMillis / 2)
+        val outcome = rows.transact(expectations, changes, timeoutMillis)
+        delay(writeMillis / 2)
+        return outcome
+    }
+
+    override suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch> {
+        delay(readMillis)
+        return rows.readAll(places)
+    }
+
+    override fun feed(table: String): RowFeed =
+        object : RowFeed {
+            override suspend fun changesAfter(
+                version: Long,
+                waitMillis: Long,
+            ): ReadResult<RowBatch> {
+                delay(FEED_MILLIS)
+                val places = if (table == StoredTables.states.table) listOf(StoredTables.states) else StoredTables.work
+                val all = rows.readAll(places) as ReadResult.Read
+                return ReadResult.Read(RowBatch(all.value.rows.filter { it.version > version }, all.value.version))
+            }
+
+            override fun close() = Unit
+        }
+}
+
+private class IdleWorker :
+    WorkerGateway,
+    WorkerList {
+    val starts = ArrayList<StartOrder>()
+
+    override suspend fun follow(
+        onAll: (List<ListedWorker>) -> Unit,
+        onChange: (workerId: String, worker: ListedWorker?) -> Unit,
+    ) {
+        onAll(listOf(worker("w2")))
+        awaitCancellation()
+    }
+
+    override fun listings(address: WorkerAddress): WorkerListings =
+        object : WorkerListings {
+            override val isProven = true
+
+            override suspend fun list(renewal: Renewal): ListingOutcome {
+                delay(renewal.waitMillis + 1)
+                return listing(running = starts.map { running(it.taskId, it.runId) })
+            }
+
+            override fun close() = Unit
+        }
+
+    override suspend fun start(
+        address: WorkerAddress,
+        order: StartOrder,
+    ): OrderOutcome {
+        starts += order
+        return OrderOutcome.Done(1_000)
+    }
+
+    override suspend fun stop(
+        address: WorkerAddress,
+        taskId: TaskId,
+        runId: Long,
+        fencingToken: Long,
+    ): OrderOutcome = OrderOutcome.Done(1_000)
+
+    override suspend fun pace(
+        address: WorkerAddress,
+        taskId: TaskId,
+        runId: Long,
+        percentage: Int,
+        fencingToken: Long,
+    ): OrderOutcome = OrderOutcome.Done(1_000)
+}
+
+private data class SlowCase(
+    val name: String,
+    val readMillis: Long,
+)
+
+@OptIn(ExperimentalCoroutinesApi::class)
+private suspend fun TestScope.play(case: SlowCase): List<String> {
+    val clock =
+        object : Clock {
+            override fun monotonicMillis() = testScheduler.currentTime + 10_000
+
+            override fun wallMillis() = testScheduler.currentTime + 10_000
+        }
+    val store = SlowStore(MemoryRowStore(), case.readMillis, writeMillis = 300)
+    val owner = OwnerRecord("", epoch = 1, sequence = 5, writtenUnixMillis = 9_000, keepsRoster = true)
+    val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(owner))
+    store.rows.transact(emptyList(), listOf(row), 100)
+    val workers = IdleWorker()
+    val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
+    val lost = ArrayList<String>()
+    val parts =
+        backgroundScope.launch {
+            listOf("a", "b").forEachIndexed { rank, id ->
+                val catalogue = StateCatalogue(store, clock)
+                val log =
+                    EventLog(id) { event ->
+                        if (event == Event.OWNERSHIP_LOST) lost += "$id at ${testScheduler.currentTime}"
+                    }
+                val ownership =
+                    Ownership(id, ports, catalogue, clock, OwnerSettings(), { EngineLimits() }, log, { rank })
+                ownership.configure(configuration())
+                launch { catalogue.run() }
+                launch { ownership.run() }
+            }
+        }
+    advanceTimeBy(PLAY_MILLIS)
+    parts.cancel()
+    return lost
+}
+
+private const val FEED_MILLIS = 100L
+private const val PLAY_MILLIS = 20_000L
+
+// A new owner does not renew its row while it reads what it inherits, one table after the other.
+class TakeoversWhileTheStoreIsSlowTest :
+    FunSpec({
+        context("the duty passes on once while a read of the store takes") {
+            withData(
+                nameFn = { it.name },
+                SlowCase("a tenth of a second", readMillis = 100),
+                SlowCase("four tenths of a second", readMillis = 400),
+                SlowCase("six tenths of a second", readMillis = 600),
+            ) { case ->
+                runTest { play(case) shouldBe emptyList() }
+            }
+        }
+    })
