Reproduce a roster that is believed although its owner never kept one

What callers would see: a task runs twice (TWICE) while entries are upgraded in turn. Cause: the row of a takeover says at once that a roster is kept, though nothing was waited for after an owner without one. Evidence: three cases, the one with a failed takeover red on.

--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RosterOfABriefOwnerTest.kt
@@ -0,0 +1,175 @@
+package org.verbenagauge.entry.jobs.owner
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.MemoryRowStore
+import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.configuration
+import org.verbenagauge.entry.jobs.engine.job
+import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.running
+import org.verbenagauge.entry.jobs.engine.step
+import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.front.StateCatalogue
+import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.ListedWorker
+import org.verbenagauge.entry.jobs.ports.ListingOutcome
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
+import org.verbenagauge.entry.jobs.ports.ReadResult
+import org.verbenagauge.entry.jobs.ports.Renewal
+import org.verbenagauge.entry.jobs.ports.RowBatch
+import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.ports.RowFeed
+import org.verbenagauge.entry.jobs.ports.RowPlace
+import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StartOrder
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
+import org.verbenagauge.entry.jobs.ports.WorkerGateway
+import org.verbenagauge.entry.jobs.ports.WorkerList
+import org.verbenagauge.entry.jobs.ports.WorkerListings
+import org.verbenagauge.entry.jobs.records.JobRecord
+import org.verbenagauge.entry.jobs.records.OwnerRecord
+import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.logging.EventLog
+
+private const val JOB = "0000000000000001"
+
+/** A store that is read whole again and again, and of which the roster cannot be read [failures] times. */
+private class RereadStore(
+    val rows: MemoryRowStore,
+    private var failures: Int,
+) : RowStore by rows {
+    override suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch> {
+        if (places == listOf(StoredTables.roster) && failures-- > 0) return ReadResult.Failed("down")
+        return rows.readAll(places)
+    }
+
+    override fun feed(table: String): RowFeed =
+        object : RowFeed {
+            override suspend fun changesAfter(
+                version: Long,
+                waitMillis: Long,
+            ): ReadResult<RowBatch> {
+                delay(100)
+                return ReadResult.HistoryGone
+            }
+
+            override fun close() = Unit
+        }
+}
+
+private class OneListed :
+    WorkerGateway,
+    WorkerList {
+    val starts = ArrayList<StartOrder>()
+
+    override suspend fun follow(
+        onAll: (List<ListedWorker>) -> Unit,
+        onChange: (workerId: String, worker: ListedWorker?) -> Unit,
+    ) {
+        onAll(listOf(worker("w2")))
+        awaitCancellation()
+    }
+
+    override fun listings(address: WorkerAddress): WorkerListings =
+        object : WorkerListings {
+            override val isProven = true
+
+            override suspend fun list(renewal: Renewal): ListingOutcome {
+                delay(renewal.waitMillis + 1)
+                return listing(running = starts.map { running(it.taskId, it.runId) })
+            }
+
+            override fun close() = Unit
+        }
+
+    override suspend fun start(
+        address: WorkerAddress,
+        order: StartOrder,
+    ): OrderOutcome {
+        starts += order
+        return OrderOutcome.Done(1_000)
+    }
+
+    override suspend fun stop(
+        address: WorkerAddress,
+        taskId: TaskId,
+        runId: Long,
+        fencingToken: Long,
+    ): OrderOutcome = OrderOutcome.Done(1_000)
+
+    override suspend fun pace(
+        address: WorkerAddress,
+        taskId: TaskId,
+        runId: Long,
+        percentage: Int,
+        fencingToken: Long,
+    ): OrderOutcome = OrderOutcome.Done(1_000)
+}
+
+private data class BriefCase(
+    val name: String,
+    val keepsRoster: Boolean,
+    val failures: Int,
+    val starts: Int,
+)
+
+@OptIn(ExperimentalCoroutinesApi::class)
+private suspend fun TestScope.play(case: BriefCase): Int {
+    val clock =
+        object : Clock {
+            override fun monotonicMillis() = testScheduler.currentTime + 10_000
+
+            override fun wallMillis() = testScheduler.currentTime + 10_000
+        }
+    val store = RereadStore(MemoryRowStore(), case.failures)
+    val owner = OwnerRecord("", epoch = 1, sequence = 5, writtenUnixMillis = 9_000, keepsRoster = case.keepsRoster)
+    val place = StoredTables.work(JOB)
+    val bytes = RecordCodec.encode(JobRecord.serializer(), job(step(1, isLasting = true)))
+    store.transact(emptyList(), listOf(RowChange(place, StoredTables.jobKey(JOB), bytes)), 100)
+    val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(owner))
+    store.transact(emptyList(), listOf(row), 100)
+    val catalogue = StateCatalogue(store, clock)
+    val workers = OneListed()
+    val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
+    val ownership =
+        Ownership("a", ports, catalogue, clock, OwnerSettings(), { EngineLimits() }, EventLog("a"), { 0 })
+    ownership.configure(configuration())
+    val parts =
+        backgroundScope.launch {
+            launch { catalogue.run() }
+            launch { ownership.run() }
+        }
+    advanceTimeBy(5_000)
+    parts.cancel()
+    return workers.starts.size
+}
+
+// Incident 003: a worker that is not on the platform's list may run a task of an owner that kept no roster.
+class RosterOfABriefOwnerTest :
+    FunSpec({
+        context("an inherited task") {
+            withData(
+                nameFn = { it.name },
+                BriefCase("starts at once after an owner with a roster", keepsRoster = true, failures = 0, starts = 1),
+                BriefCase("waits for leases after an owner without one", keepsRoster = false, failures = 0, starts = 0),
+                BriefCase(
+                    "waits as well when a takeover between them failed",
+                    keepsRoster = false,
+                    failures = 1,
+                    starts = 0,
+                ),
+            ) { case ->
+                runTest { play(case) shouldBe case.starts }
+            }
+        }
+    })
