Reproduce a worker that is not seen again after its machine was down

What callers would see: less room; none when it is the only worker. Cause: an id counts as taken down until the list drops its entry, which stays when the worker starts again before that.

--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/WorkerBackUnderItsIdTest.kt
@@ -0,0 +1,21 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldHaveSize
+
+private const val JOB = "0000000000000001"
+
+// A worker may start again under its id before its entry has left the platform's list.
+class WorkerBackUnderItsIdTest :
+    FunSpec({
+        test("a worker that starts again under its id after its machine was found down takes work") {
+            val engine = readyEngine("w1")
+            engine.ended("w1", now = 10)
+            val back = worker("w1").copy(bornUnixMillis = BORN + 1)
+            engine.listRecorded(back, now = 100)
+            engine.listed("w1", listing(bornUnixMillis = BORN + 1), sentAtMillis = 100, now = 110)
+            engine.accept(JOB, job(step(1)), now = 5_000)
+            engine.listRecorded(back, now = 20_000)
+            engine.decide(20_000, 0).starts() shouldHaveSize 1
+        }
+    })
