--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
@@ -145,18 +145,18 @@
         worker: SoakWorker,
         forMillis: Long,
     ) {
-        val link = worker.links[indexOf(entry)]
+        val faults = worker.paths[indexOf(entry)]
         val way = random.nextInt(WAYS)
         during(
             "${entry.id} is cut from ${worker.id} (way $way)",
             forMillis,
             {
-                if (way != 1) link.faults.isCutIn = true
-                if (way != 0) link.faults.isCutOut = true
+                if (way != 1) faults.isCutIn = true
+                if (way != 0) faults.isCutOut = true
             },
             {
-                link.faults.isCutIn = false
-                link.faults.isCutOut = false
+                faults.isCutIn = false
+                faults.isCutOut = false
             },
         )
     }
@@ -233,17 +233,17 @@
     private fun lateGrants() {
         val entry = owner()
         someWorkers(3).forEach { worker ->
-            val link = worker.links[indexOf(entry)]
+            val faults = worker.paths[indexOf(entry)]
             val delayMillis = millis(200, 3_000)
             during(
                 "calls of ${entry.id} to ${worker.id} take up to $delayMillis ms",
                 millis(3_000, 8_000),
                 {
-                    link.faults.requestDelayMillis = delayMillis
-                    link.faults.answerDelayMillis = delayMillis
-                    link.faults.lateShare = LATE_SHARE
+                    faults.requestDelayMillis = delayMillis
+                    faults.answerDelayMillis = delayMillis
+                    faults.lateShare = LATE_SHARE
                 },
-                { link.faults.clear() },
+                { faults.clear() },
             )
         }
         if (random.nextBoolean()) cutPair(entry, someWorkers(1).first(), millis(4_000, 9_000))
@@ -291,12 +291,25 @@
         site.callers.handIn(WireJob("sleep $MANY_MILLIS", listOf(step)))
         pass(MANY_MILLIS - millis(0, 600))
         val before = owner()
-        cutPair(before, worker, millis(4_000, 6_000))
+        cutPair(before, worker, millis(6_500, 9_000))
         pass(millis(1_000, 2_000))
+        slowAnswers(worker, worker.paths - worker.paths[indexOf(before)], millis(100, 700), millis(4_000, 6_000))
         if (random.nextBoolean()) kill(before) else pause(before, millis(2_000, 4_000))
         pass(millis(4_000, 6_000))
     }
 
+    private fun slowAnswers(
+        worker: SoakWorker,
+        paths: List<LinkFaults>,
+        delayMillis: Long,
+        forMillis: Long,
+    ) = during(
+        "answers of ${worker.id} take up to $delayMillis ms",
+        forMillis,
+        { paths.forEach { it.answerDelayMillis = delayMillis } },
+        { paths.forEach { it.answerDelayMillis = 0 } },
+    )
+
     private fun restarts() {
         someWorkers(2).forEach { worker ->
             if (random.nextBoolean()) {
@@ -329,22 +342,22 @@
     }
 
     private fun lostAnswers() {
-        val links = site.storeLinks + site.workers.filter { it.isUp }.flatMap { it.links }
+        val all = site.storeLinks.map { it.faults } + site.workers.filter { it.isUp }.flatMap { it.paths }
         val lost = random.nextDouble() * LOST_SHARE
         val late = random.nextDouble() * LATE_SHARE
         during(
             "answers are lost (share %.2f) and orders late (%.2f)".format(lost, late),
             millis(3_000, 8_000),
             {
-                links.forEach {
-                    it.faults.lostShare = lost
-                    it.faults.lateShare = late
+                all.forEach {
+                    it.lostShare = lost
+                    it.lateShare = late
                 }
             },
             {
-                links.forEach {
-                    it.faults.lostShare = 0.0
-                    it.faults.lateShare = 0.0
+                all.forEach {
+                    it.lostShare = 0.0
+                    it.lateShare = 0.0
                 }
             },
         )
@@ -364,7 +377,7 @@
                 4 -> pause(anyEntry(), millis(300, 8_000))
                 5 -> cutFromStore(anyEntry(), millis(500, 5_000))
                 6 ->
-                    (site.storeLinks + site.workers.flatMap { it.links }).filter { random.nextBoolean() }.forEach {
+                    (site.storeLinks + site.workers.map { it.link }).filter { random.nextBoolean() }.forEach {
                         it
                             .silence()
                     }
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Link.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Link.kt
@@ -78,10 +78,15 @@
     }
 }
 
-/** Path of one caller to one stand-in: a port of its own, HTTP/1.1 over blocking sockets, and faults on the way. */
+/**
+ * Path to one stand-in: a port of its own, HTTP/1.1 over blocking sockets, and faults on the way.
+ *
+ * @param faultsOf tells the faults of a call by its caller, where several callers share the port.
+ */
 internal class Link(
     seed: Long,
     private val handler: (Ask) -> Reply?,
+    private val faultsOf: ((Ask) -> LinkFaults)? = null,
 ) : AutoCloseable {
     private val random = Random(seed)
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -169,6 +174,7 @@
 
         private fun serve(ask: Ask) {
             if (isSilent) return
+            val faults = faultsOf?.invoke(ask) ?: faults
             when (faults.refusal) {
                 Refusal.BUSY -> return write(Reply(BUSY_STATUS))
                 Refusal.UNAVAILABLE -> return write(Reply(UNAVAILABLE_STATUS))
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Soak.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/Soak.kt
@@ -2,7 +2,6 @@
 
 import org.verbenagauge.platform.WireConfig
 import org.verbenagauge.platform.WireRoute
-import org.verbenagauge.platform.WireRow
 import org.verbenagauge.platform.WireServer
 import org.verbenagauge.platform.WireService
 import org.verbenagauge.platform.wireJson
@@ -13,7 +12,6 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.time.Duration
-import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -73,10 +71,7 @@
     @Volatile var expiresWhileDown = true
 
     val store = SoakStore(::owner)
-    val storeLinks =
-        List(
-            settings.entryCount,
-        ) { index -> Link(random.nextLong()) { ask -> store.handle(ask) { render(it, index) } } }
+    val storeLinks = List(settings.entryCount) { Link(random.nextLong(), store::handle) }
     val workers =
         List(settings.workerCount) { SoakWorker("i-$it", floor, settings.entryCount, Random(random.nextLong())) }
     val entries =
@@ -88,21 +83,11 @@
         epoch: Long,
     ) {
         ownerId = entryId
+        val index = entries.indexOfFirst { it.id == entryId }
+        if (index >= 0) floor.entryByToken[epoch] = index
         recorder.note(Recorder.RIG, "owner is '$entryId', epoch $epoch")
     }
 
-    // Each entry reaches workers over paths of its own.
-    private fun render(
-        row: WireRow,
-        link: Int,
-    ): WireRow {
-        if (row.table != SERVERS || row.deleted) return row
-        val server = wireJson.decodeFromString(WireServer.serializer(), String(Base64.getDecoder().decode(row.value)))
-        val worker = workers.first { worker -> worker.links.any { it.address == server.address } }
-        val shown = wireJson.encodeToString(WireServer.serializer(), server.copy(address = worker.links[link].address))
-        return row.copy(value = Base64.getEncoder().encodeToString(shown.encodeToByteArray()))
-    }
-
     /** Starts everything and waits until the entries take jobs. */
     fun start() {
         floor.workers += workers
@@ -162,7 +147,7 @@
             val isDue = now - (reportedAtMillis[worker.id] ?: -HEARTBEAT_MILLIS) >= HEARTBEAT_MILLIS
             if (isDue || worker.isDraining) {
                 reportedAtMillis[worker.id] = now
-                store.put(SERVERS, worker.id, wireJson.encodeToString(WireServer.serializer(), worker.listed(0)))
+                store.put(SERVERS, worker.id, wireJson.encodeToString(WireServer.serializer(), worker.listed()))
                 if (listedIds.add(worker.id)) recorder.note(worker.id, "${worker.id}: listed")
             }
         }
@@ -191,7 +176,7 @@
         callers.stop()
         timer.shutdownNow()
         entries.forEach { it.kill() }
-        (storeLinks + workers.flatMap { it.links }).forEach { it.close() }
+        (storeLinks + workers.map { it.link }).forEach { it.close() }
     }
 
     private companion object {
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakStore.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakStore.kt
@@ -49,15 +49,12 @@
             oldestVersion = version
         }
 
-    /** Carries [ask] out; rows of the list of workers are shown by [render]. */
-    fun handle(
-        ask: Ask,
-        render: (WireRow) -> WireRow,
-    ): Reply =
+    /** Carries [ask] out. */
+    fun handle(ask: Ask): Reply =
         when (ask.path) {
             "/v1/rows-tx" -> transact(ask.body)
-            "/v1/rows-get" -> get(ask.query, render)
-            "/v1/rows-feed" -> feed(ask.query, render)
+            "/v1/rows-get" -> get(ask.query)
+            "/v1/rows-feed" -> feed(ask.query)
             else -> Reply(BAD_REQUEST)
         }
 
@@ -102,10 +99,7 @@
         ownerEpoch = record.epoch
     }
 
-    private fun get(
-        query: Map<String, String>,
-        render: (WireRow) -> WireRow,
-    ): Reply =
+    private fun get(query: Map<String, String>): Reply =
         lock.withLock {
             val prefix = "${query["Table"]}\u0000${query["part"].orEmpty()}\u0000"
             val limit = query["Limit"]?.toInt() ?: MOST_ROWS
@@ -118,19 +112,16 @@
                     .map { it.value }
                     .take(limit + 1)
                     .toList()
-            reply(OK, found.take(limit).map(render), hasMore = found.size > limit)
+            reply(OK, found.take(limit), hasMore = found.size > limit)
         }
 
-    private fun feed(
-        query: Map<String, String>,
-        render: (WireRow) -> WireRow,
-    ): Reply =
+    private fun feed(query: Map<String, String>): Reply =
         lock.withLock {
             val since = query["Dependencies"]?.toLong() ?: 0
             var leftNanos = TimeUnit.MILLISECONDS.toNanos(query["WaitMs"]?.toLong() ?: 0)
             while (since >= oldestVersion) {
                 val news = after(since).filter { it.table == query["Table"] }
-                if (news.isNotEmpty() || leftNanos <= 0) return reply(OK, news.map(render))
+                if (news.isNotEmpty() || leftNanos <= 0) return reply(OK, news)
                 leftNanos = changed.awaitNanos(leftNanos)
             }
             Reply(GONE)
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakWorker.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakWorker.kt
@@ -13,6 +13,7 @@
 import org.verbenagauge.platform.wireJson
 import org.verbenagauge.standin.jobs.SimulatedWork
 import org.verbenagauge.standin.jobs.simulatedWork
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -26,6 +27,9 @@
     val lock = ReentrantLock()
     val workers = ArrayList<SoakWorker>()
 
+    /** Position of the entry that was the owner with a token; faults between entries and workers are aimed by it. */
+    val entryByToken = ConcurrentHashMap<Long, Int>()
+
     /** Lets time pass on all workers. */
     fun advance() =
         lock.withLock {
@@ -84,8 +88,11 @@
     /** Whether its reports reach the store. */
     @Volatile var reachesStore = true
 
-    /** Paths of the entries to it, in the order of the entries. */
-    val links = List(entryCount) { Link(random.nextLong(), ::handle) }
+    /** Faults on the paths of the entries to it, in the order of the entries. */
+    val paths = List(entryCount) { LinkFaults() }
+
+    /** Its port, which all entries share. */
+    val link = Link(random.nextLong(), ::handle, ::faultsOf)
 
     init {
         begin(firstId)
@@ -106,7 +113,7 @@
             bornUnixMillis = System.currentTimeMillis()
             clockRate = 1.0 - random.nextDouble() * SLOWEST
             isUp = true
-            links.forEach { it.faults.clear() }
+            paths.forEach { it.clear() }
             floor.recorder.note(id, "$id: up, born $bornUnixMillis")
         }
 
@@ -121,21 +128,29 @@
             ends.forEach { floor.recorder.forgotten(it.seen) }
             ends.clear()
             changed.signalAll()
-            links.forEach {
-                it.faults.refusal = Refusal.RESET
-                it.dropLate()
-                it.reset()
-            }
+            paths.forEach { it.refusal = Refusal.RESET }
+            link.dropLate()
+            link.reset()
         }
 
     /** Number of runs. */
     val runCount: Int get() = floor.lock.withLock { running.size }
 
-    /** Entry in the list of workers, as the caller of [link] reaches it. */
-    fun listed(link: Int) =
+    private fun faultsOf(ask: Ask): LinkFaults {
+        val token =
+            tokenPattern
+                .find(ask.body)
+                ?.groupValues
+                ?.get(1)
+                ?.toLong()
+        return paths[floor.entryByToken[token ?: 0] ?: 0]
+    }
+
+    /** Entry in the list of workers. */
+    fun listed() =
         WireServer(
             service = SERVICE,
-            address = links[link].address,
+            address = link.address,
             zone = "zone-0",
             state = if (isDraining) "draining" else "ready",
             capacity = capacity,
@@ -300,6 +315,7 @@
     internal companion object {
         /** Service of all workers. */
         const val SERVICE = "hall"
+        private val tokenPattern = Regex("\"FencingToken\":(\\d+)")
         private const val CAPACITY_CPU = 4_000L
         private const val CAPACITY_MB = 8_192L
         private const val MICROS = 1_000L
