Count jobs as unread from the start of the epoch, not from the start of their feed

What callers would see: a task runs twice when a takeover reads for longer than the earlier owner's lease (review of the fix). Cause: the feed's first time of reading was the time at which it began; a job that was stored after the jobs were read and before that counted as new. Evidence: JobsOfASlowTakeoverTest, slow case red before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
@@ -19,7 +19,9 @@
     private val follower = TableFollower(store, StoredTables.work, FEED_WAIT_MILLIS, pauseMillis = 0)
 
     private var callSinceMillis = clock.monotonicMillis()
-    private var takenAsOfMillis = callSinceMillis
+
+    // What is inherited was read some time after the epoch began.
+    private var takenAsOfMillis = engine.state.startedAtMillis
 
     /** Runs until cancelled. */
     suspend fun run() {
