Look at the lease before a renewal is made, which counts as sent

What callers would see: ends of an idle worker are not taken note of after a pause of the owner, until something else runs there. Cause: the renewal was booked, then not sent. Evidence: EndsUnacknowledgedAfterDoubtTest, red before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
@@ -48,16 +48,17 @@
         onListed: () -> Unit,
     ) {
         while (!isClosed && !isFenced && isDriven()) {
+            // Before the renewal, which counts as sent.
+            if (!writer.isLeaseValid()) {
+                delay(FAILURE_GAP_MILLIS)
+                continue
+            }
             val now = clock.monotonicMillis()
             val renewal = engine.renewal(workerId, settings.listingWaitMillis, listings.isProven, now)
             if (renewal == null) {
                 signal.receive()
                 continue
             }
-            if (!writer.isLeaseValid()) {
-                delay(FAILURE_GAP_MILLIS)
-                continue
-            }
             val outcome = listings.list(renewal)
             isFenced = !engine.listed(workerId, outcome, now, clock.monotonicMillis(), address)
             onListed()
