Look at the lease again after the machines are read, and before an order on a machine is repeated

What callers would see: two owners order the same machine. Cause: reading the list of machines takes up to 1.5 s a page after the lease was looked at; repeats were sent without a look. Evidence: MoveWithoutLeaseTest, red before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -37,6 +37,8 @@
             while (true) {
                 delay(TICK_MILLIS)
                 if (!mayOrder() || !engine.state.isListKnown || !board.refresh()) continue
+                // Reading the machines takes time.
+                if (!mayOrder()) continue
                 dropLost()
                 forgetArrived()
                 val now = clock.monotonicMillis()
@@ -83,7 +85,7 @@
 
             is MachineOutcome.Busy, is MachineOutcome.TryLater -> forget(move)
             is MachineOutcome.Unanswered -> {
-                delay(TICK_MILLIS)
+                do delay(TICK_MILLIS) while (!mayOrder())
                 if (move.machine.machineId in underway) order(move)
             }
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -64,7 +64,8 @@
                 delay(TICK_MILLIS)
                 val active = ports.waves().mapNotNull { progress(it) }.filter { !it.isCompleted }
                 if (active.isEmpty() || !mayOrder()) continue
-                if (!board.refresh()) continue
+                // Reading the machines takes time.
+                if (!board.refresh() || !mayOrder()) continue
                 active.forEach { step(this, it) }
             }
         }
