Wait no longer for a worker that told a part of its ends and fell silent than for its leases

What callers would see: inherited tasks of a queue never start. Cause: a worker that had answered once was waited for without bound. Change: until its own leases have passed. Evidence: SilentAfterOnePageTest, red before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -22,11 +22,16 @@
         val silent = state.workers.values.filter { mayHold(it, queue) && !hasToldAll(it) }
         // Leases of workers that answer are renewed, so that only their lists tell.
         val areKnown =
-            if (haveLapsed(now)) silent.none { it.isHeard } else state.areWorkersKnown && silent.isEmpty()
+            if (haveLapsed(now)) silent.none { isRenewed(it, now) } else state.areWorkersKnown && silent.isEmpty()
         if (areKnown && knownQueues.add(queue.name)) note(queue, silent, now)
         return areKnown
     }
 
+    private fun isRenewed(
+        worker: WorkerEntry,
+        now: Long,
+    ) = worker.isHeard && !worker.hasSurelyLapsed(now, state.limits)
+
     private fun mayHold(
         worker: WorkerEntry,
         queue: QueueConfiguration,
