Remember ended jobs until their rows are removed

What callers would see: a job that is done runs again after a change of the owner. Cause: 50,000 ends were remembered, the earliest were given up while their rows could still be read.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -39,8 +39,8 @@
     private val endings = HashMap<String, JobChange>()
     private var runCounter = 0L
 
-    // Jobs that ended in this epoch: their rows may be read once more before the end is stored.
-    private val endedIds = LinkedHashSet<String>()
+    // Jobs that have ended, until their rows are removed.
+    private val endedIds = HashSet<String>()
 
     fun act(action: EngineAction) {
         actions += action
@@ -79,7 +79,11 @@
     fun rememberEnd(id: String) {
         endedIds += id
         earlyCancellations -= id
-        if (endedIds.size > REMEMBERED_ENDS) endedIds.remove(endedIds.first())
+    }
+
+    /** Takes note that no row holds the job [id] any more, so that it cannot be read again. */
+    fun forgetEnd(id: String) {
+        endedIds -= id
     }
 
     /** Jobs whose cancellation was read before the job itself. */
@@ -89,7 +93,7 @@
     fun cancelledEarly(id: String) {
         if (hasEnded(id)) return
         earlyCancellations += id
-        if (earlyCancellations.size > REMEMBERED_ENDS) earlyCancellations.remove(earlyCancellations.first())
+        if (earlyCancellations.size > MOST_EARLY_CANCELLATIONS) earlyCancellations.remove(earlyCancellations.first())
     }
 
     /** Whether the job [id] may have been accepted and is not read yet. */
@@ -114,7 +118,7 @@
         // A run number must fit into 53 bits, so that every JSON reader keeps it whole.
         const val RUNS_PER_EPOCH = 10_000_000L
 
-        // Far more jobs than can end while one write is on its way.
-        const val REMEMBERED_ENDS = 50_000
+        // Far more than can be read before their jobs.
+        const val MOST_EARLY_CANCELLATIONS = 50_000
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Janitor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Janitor.kt
@@ -18,6 +18,9 @@
     private val endedAtUnixMillis = LinkedHashMap<String, Long>()
     private val retired = ArrayDeque<String>()
 
+    /** Told each job whose row is removed. */
+    var onRetired: (jobId: String) -> Unit = {}
+
     /** Takes note that [jobId] ended and that this is stored. */
     fun ended(
         jobId: String,
@@ -56,6 +59,7 @@
             if (isApplied(jobIds.map { RowChange(place, StoredTables.jobKey(it), null) })) {
                 endedAtUnixMillis -= jobIds.toSet()
                 retired += jobIds.map { StoredTables.stateKey(it) }
+                jobIds.forEach(onRetired)
             }
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -76,6 +76,7 @@
                     launch { WorkFollower(ports.store, engine, clock, workVersion, ::wake).run() }
                     launch { WorkerFollower(ports.workerList, engine, clock, ::wake).run() }
                     launch { decideLoop(this) }
+                    janitor.onRetired = engine.state::forgetEnd
                     launch { janitor.run() }
                     news?.let { launch { it.beat(engine.state.epoch) } }
                     ports.waves?.let { waves ->
