Take a worker back that starts again under its id after its machine was down

What callers would see: less room until the next change of the owner. Cause: the id was barred, not the life.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 
 /** Everything that the parts of the engine share. */
 internal class EngineState(
@@ -22,8 +23,17 @@
     /** What waits for room on workers of each service and for nothing else, as of the last decision. */
     val wantedByService = HashMap<String, Amount>()
 
-    /** Workers whose machine was taken down by order, until the platform's list drops them. */
-    val endedWorkers = HashSet<String>()
+    /** Workers whose machine was taken down, with the start of that life, until the platform's list drops them. */
+    val endedWorkers = HashMap<String, Long?>()
+
+    /** Whether [listed] is a life that ended with its machine; when its start was not known, each life under its id is. */
+    fun isEndedLife(listed: ListedWorker): Boolean {
+        val workerId = listed.address.workerId
+        if (workerId !in endedWorkers) return false
+        val endedUnixMillis = endedWorkers[workerId]
+        return endedUnixMillis == null || endedUnixMillis == listed.bornUnixMillis
+    }
+
     var configuration: JobsConfiguration? = null
 
     /** Whether the platform's list of workers was read in this epoch. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -109,7 +109,7 @@
         now: Long,
     ) {
         val known = state.workers[listed.address.workerId]
-        if (listed.address.workerId in state.endedWorkers) return
+        if (state.isEndedLife(listed)) return
         if (known == null) {
             val worker = WorkerEntry(listed, now)
             state.workers[listed.address.workerId] = worker
@@ -202,8 +202,9 @@
         workerId: String,
         now: Long,
     ) {
-        state.workers[workerId]?.let { workers.drop(it, "its machine was taken down", now) }
-        state.endedWorkers += workerId
+        val worker = state.workers[workerId]
+        worker?.let { workers.drop(it, "its machine was taken down", now) }
+        state.endedWorkers[workerId] = worker?.listed?.bornUnixMillis
     }
 
     /** Returns the renewal that [workerId] gets next; null when it needs none. */
