Tell that a roster is kept only when it names all workers

What callers would see: double runs during an upgrade, when the first owner of the new release ends soon. Cause: it told at its takeover that a roster is kept, though the owner before kept none. Change: it tells so once every earlier lease has passed.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -100,6 +100,9 @@
         runs.stop(run, now)
     }
 
+    /** Whether every worker that may hold a run has a row at [now], also after an owner that kept none. */
+    fun isRosterWhole(now: Long): Boolean = earlierRuns.haveLapsed(now)
+
     /** Whether something has to be stored. */
     val hasChanges: Boolean get() = state.hasChanges || state.roster.hasChanges
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
@@ -49,16 +49,18 @@
     /** Whether a write is not settled. */
     val isOpen: Boolean get() = pending != null
 
-    /** Begins a write of [changes] with [pendingByQueue]; [attempt] sends it. */
+    /** Begins a write of [changes] with [pendingByQueue]; [attempt] sends it. The roster [isRosterWhole] from then on. */
     fun begin(
         changes: List<RowChange>,
         pendingByQueue: Map<String, Int>,
+        isRosterWhole: Boolean = false,
     ) {
         val next =
             record.copy(
                 sequence = record.sequence + 1,
                 pendingByQueue = pendingByQueue,
                 writtenUnixMillis = clock.wallMillis(),
+                keepsRoster = record.keepsRoster || isRosterWhole,
             )
         pending = PendingWrite(next, changes)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -76,7 +76,8 @@
         val waiters = flushed
         if (marks.isNotEmpty()) flushed = CompletableDeferred()
         val retired = janitor.takeRetired(MOST_RETIRED).map { RowChange(StoredTables.states, it, null) }
-        chain.begin(roster.map(::row) + changes.flatMap(::rows) + retired, engine.pendingByQueue())
+        val isRosterWhole = engine.isRosterWhole(clock.monotonicMillis())
+        chain.begin(roster.map(::row) + changes.flatMap(::rows) + retired, engine.pendingByQueue(), isRosterWhole)
         val lost = settle()
         if (lost != null) return lost
         engine.state.roster.stored(roster)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -90,7 +90,13 @@
     ) {
         val epoch = (seen.record?.epoch ?: 0) + 1
         val record =
-            OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis(), keepsRoster = true)
+            OwnerRecord(
+                entryId = entryId,
+                epoch = epoch,
+                sequence = 0,
+                writtenUnixMillis = clock.wallMillis(),
+                keepsRoster = seen.record?.keepsRoster ?: true,
+            )
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
             ports.store.transact(
