Keep a worker that left the list until all of its ends are told and stored

What callers would see: a task that is done starts again (review of the fix). Cause: a worker without runs was dropped with its list entry, although an end of an unread job, a further page of ends or ends that were not stored were known through it alone; its row could be removed before they were stored. Change: it is asked on until it has told everything and that is stored, or its leases have passed.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -19,7 +19,7 @@
     ): Boolean {
         // Workers that come later are not in the roster of an earlier owner, so that they hold none of its runs.
         if (queue.name in knownQueues) return true
-        val silent = state.workers.values.filter { mayHold(it, queue) && !hasToldAll(it) }
+        val silent = state.workers.values.filter { mayHold(it, queue) && !it.hasToldAll }
         // Leases of workers that answer are renewed, so that only their lists tell.
         val areKnown =
             if (haveLapsed(now)) silent.none { isRenewed(it, now) } else state.areWorkersKnown && silent.isEmpty()
@@ -37,8 +37,6 @@
         queue: QueueConfiguration,
     ) = worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
 
-    private fun hasToldAll(worker: WorkerEntry) = worker.isHeard && worker.isWhollyListed
-
     /**
      * Whether every lease that was sent before [sinceMillis], or within the lease of an owner after it, has passed,
      * however slow the clock of the worker is.
@@ -57,7 +55,7 @@
         silent: List<WorkerEntry>,
         now: Long,
     ) {
-        val heard = state.workers.values.filter { mayHold(it, queue) && hasToldAll(it) }
+        val heard = state.workers.values.filter { mayHold(it, queue) && it.hasToldAll }
         val unlisted = heard.filter { !it.isListed }.joinToString { it.id }.ifEmpty { "none" }
         val unheard = silent.joinToString { it.id }.ifEmpty { "none" }
         val tookMillis = now - state.startedAtMillis
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -196,8 +196,17 @@
         val worker = state.workers[workerId] ?: return
         if (worker.isListed) worker.unlistedSinceMillis = now
         worker.isListed = false
-        // Until it has answered, it may hold runs of earlier owners.
-        if (worker.isHeard && worker.runs.isEmpty()) workers.drop(worker, "it is not listed any more", now)
+        dropSettled(worker, now)
+    }
+
+    // Until it has told all and that is stored, it may hold runs of earlier owners, or the only word of their ends.
+    private fun dropSettled(
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        if (worker.isListed || !worker.hasToldAll || worker.runs.isNotEmpty()) return
+        val isStored = worker.storedEnd >= worker.seenEnd && !state.unreadEnds.hasAny(worker)
+        if (isStored) workers.drop(worker, "it is not listed any more", now)
     }
 
     /** Takes note that [workerId] was taken down by order: nothing runs there any more. */
@@ -346,6 +355,7 @@
     // A silent worker is counted on until every lease that it was sent has passed.
     private fun dropLapsed(now: Long) {
         state.workers.values.toList().forEach { worker ->
+            dropSettled(worker, now)
             // Without any answer in this epoch nothing is known of its clock.
             if (worker.bornUnixMillis == 0L) return@forEach dropUnheard(worker, now)
             if (!worker.hasSurelyLapsed(now, limits)) return@forEach
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/UnreadEnds.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/UnreadEnds.kt
@@ -39,6 +39,12 @@
         endsByJob.values.removeIf { it.isEmpty() }
     }
 
+    /** Whether an end of [worker] is kept. */
+    fun hasAny(worker: WorkerEntry): Boolean =
+        endsByJob.values.any { ends ->
+            ends.any { it.workerId == worker.id && it.bornUnixMillis == worker.bornUnixMillis }
+        }
+
     /** Number of the last end of [worker] before those that are kept, up to [seenEnd]. */
     fun acknowledgeable(
         worker: WorkerEntry,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -23,6 +23,9 @@
 
     /** Whether all its runs and ends were listed once under this epoch; a listing has room for some hundred ends. */
     var isWhollyListed = false
+
+    /** Whether everything that earlier owners started here is known. */
+    val hasToldAll: Boolean get() = isHeard && isWhollyListed
     var bornUnixMillis = 0L
 
     /** When the life that is known was first heard of. */
