--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.ListedWorker
@@ -8,8 +9,10 @@
 import org.verbenagauge.entry.jobs.ports.Renewal
 import org.verbenagauge.entry.jobs.ports.StartOrder
 import org.verbenagauge.entry.jobs.ports.StartRefusal
+import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
+import org.verbenagauge.entry.jobs.records.RosterRecord
 
 /**
  * Decides which task runs where, in one epoch of one owner. Takes events with their time and gives back actions; it has
@@ -34,7 +37,8 @@
     private val workers = WorkerKeeper(state, runs)
     private val answers = OrderAnswers(state, runs, health, workers)
     private val listings = ListingReader(state, registry, runs, health)
-    private val scheduler = Scheduler(state, runs, order(state.runTimes), placement, copies)
+    private val earlierRuns = EarlierRuns(state)
+    private val scheduler = Scheduler(state, runs, order(state.runTimes), placement, copies, earlierRuns)
     private val stuckGuard = StuckGuard(state, runs, health)
     private val paceGuard = PaceGuard(state)
     private val gangGuard = GangGuard(state, runs)
@@ -61,15 +65,25 @@
         now: Long,
     ) {
         registry.accept(id, record, acceptedAtMillis, progress, isInherited = true, now = now)
+        listings.jobRead(id, now)
     }
 
-    /** Takes in a job that was accepted in this epoch. */
+    /** Takes in a job that was not read when the epoch began. */
     fun accept(
         id: String,
         record: JobRecord,
         now: Long,
     ) {
-        registry.accept(id, record, now, progress = null, isInherited = false, now = now)
+        // The earlier owner may have read it as well, and orders until its lease has passed.
+        val mayHaveRuns = state.workReadAsOfMillis <= state.startedAtMillis + limits.ownerLeaseMillis
+        registry.accept(id, record, now, progress = null, isInherited = mayHaveRuns, now = now)
+        listings.jobRead(id, now)
+    }
+
+    /** Takes note that every job that was accepted before [asOfMillis] has been read. */
+    fun workRead(asOfMillis: Long) {
+        state.workReadAsOfMillis = maxOf(state.workReadAsOfMillis, asOfMillis)
+        state.unreadEnds.release(state.workReadAsOfMillis)
     }
 
     /** Cancels the job [id]; false when it has ended or is not known. */
@@ -86,6 +100,9 @@
         runs.stop(run, now)
     }
 
+    /** Whether something has to be stored. */
+    val hasChanges: Boolean get() = state.hasChanges || state.roster.hasChanges
+
     /** Takes in what the platform's list says of a worker. */
     fun list(
         listed: ListedWorker,
@@ -94,9 +111,11 @@
         val known = state.workers[listed.address.workerId]
         if (listed.address.workerId in state.endedWorkers) return
         if (known == null) {
-            state.workers[listed.address.workerId] = WorkerEntry(listed, now)
+            val worker = WorkerEntry(listed, now)
+            state.workers[listed.address.workerId] = worker
             state.act(EngineAction.Watch(listed.address))
             dropEarlierLives(listed, now)
+            recordEarly(worker)
             return
         }
         known.isListed = true
@@ -108,6 +127,43 @@
         }
     }
 
+    // The first task of a queue need not wait for the store then.
+    private fun recordEarly(worker: WorkerEntry) {
+        state.configuration
+            ?.queues
+            ?.filter { it.serviceName == worker.listed.serviceName }
+            ?.forEach { state.roster.mayHold(worker, it.name) }
+    }
+
+    /** Takes in a worker that may hold runs of earlier owners; it is asked although it may not be listed. */
+    fun recall(
+        workerId: String,
+        record: RosterRecord,
+        now: Long,
+    ) {
+        state.roster.recall(workerId, record)
+        val worker = WorkerEntry(recalled(workerId, record), now)
+        worker.isListed = false
+        state.workers[workerId] = worker
+        state.act(EngineAction.Watch(worker.listed.address))
+    }
+
+    // What the roster leaves out is told by the platform's list, without which the worker gets no work.
+    private fun recalled(
+        workerId: String,
+        record: RosterRecord,
+    ) = ListedWorker(
+        address = WorkerAddress(workerId, record.host, record.port),
+        serviceName = record.serviceName,
+        zoneId = "",
+        rack = "",
+        labels = emptySet(),
+        capacity = Amount(),
+        isReady = false,
+        bornUnixMillis = record.bornUnixMillis,
+        machineId = record.machineId,
+    )
+
     // A worker is one life of a machine, so that its runs ended when the next life began.
     private fun dropEarlierLives(
         listed: ListedWorker,
@@ -128,8 +184,10 @@
     ) {
         state.endedWorkers -= workerId
         val worker = state.workers[workerId] ?: return
+        if (worker.isListed) worker.unlistedSinceMillis = now
         worker.isListed = false
-        if (worker.runs.isEmpty()) workers.drop(worker, "it is not listed any more", now)
+        // Until it has answered, it may hold runs of earlier owners.
+        if (worker.isHeard && worker.runs.isEmpty()) workers.drop(worker, "it is not listed any more", now)
     }
 
     /** Takes note that [workerId] was taken down by order: nothing runs there any more. */
@@ -228,8 +286,11 @@
         }
     }
 
-    /** Returns the ends that were taken in, by worker. */
-    fun seenEnds(): List<EndMark> = state.workers.values.map { EndMark(it.id, it.bornUnixMillis, it.seenEnd) }
+    /** Returns the ends that were taken in and may be acknowledged once they are stored, by worker. */
+    fun seenEnds(): List<EndMark> =
+        state.workers.values.map {
+            EndMark(it.id, it.bornUnixMillis, state.unreadEnds.acknowledgeable(it, it.seenEnd))
+        }
 
     /** Decides what to do now; [unixMillis] is the time of day, for scheduled jobs only. */
     fun decide(
@@ -238,10 +299,11 @@
     ): List<EngineAction> {
         registry.openDue(unixMillis, now)
         dropLapsed(now)
+        listings.stopUnwanted(now)
         runs.repeatStops(now)
         stuckGuard.check(now)
         paceGuard.check(now)
-        gangGuard.check({ scheduler.isSettled(it, now) }, now)
+        gangGuard.check(earlierRuns, now)
         if (mayStart) scheduler.schedule(now)
         return state.takeActions()
     }
@@ -249,10 +311,19 @@
     // A silent worker is counted on until every lease that it was sent has passed.
     private fun dropLapsed(now: Long) {
         state.workers.values.toList().forEach { worker ->
-            if (!worker.isHeard || !worker.hasSurelyLapsed(now, limits)) return@forEach
+            if (!worker.isHeard) return@forEach dropUnheard(worker, now)
+            if (!worker.hasSurelyLapsed(now, limits)) return@forEach
             worker.runs.values
                 .filter { !worker.isListed || !mayStillBegin(it) }
-                .forEach { runs.gone(it, now) }
+                .forEach {
+                    val evidence = "its lease has passed, last answer ${now - worker.lastAnswerMillis} ms ago"
+                    state.note(
+                        NoteKind.RUN_GIVEN_UP,
+                        it.taskId.toString(),
+                        "run ${it.runId} on ${worker.id}: $evidence",
+                    )
+                    runs.gone(it, evidence, now)
+                }
             if (!worker.isListed &&
                 worker.runs.isEmpty()
             ) {
@@ -261,6 +332,14 @@
         }
     }
 
+    private fun dropUnheard(
+        worker: WorkerEntry,
+        now: Long,
+    ) {
+        if (worker.isListed || !earlierRuns.haveLapsed(now, worker.unlistedSinceMillis)) return
+        workers.drop(worker, "it is neither listed nor heard, and every lease has passed", now)
+    }
+
     // An order on its way may reach a later life under the same id, whose clock has begun anew.
     private fun mayStillBegin(run: Run) = run.phase == RunPhase.STARTING && run.isUncertain
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -13,6 +13,7 @@
     private val order: JobOrder,
     private val placement: Placement,
     private val copies: CopyPolicy,
+    private val earlierRuns: EarlierRuns,
 ) {
     /** Starts what fits. */
     fun schedule(now: Long) {
@@ -25,13 +26,16 @@
         state.wantedByService.clear()
         jobsByService.forEach { (service, jobs) ->
             val workers = workersByService[service].orEmpty()
-            val isSettled = isSettled(service, now)
-            val open = jobs.filter { (isSettled || !it.isInherited) && it.hasReadyTask() }
+            val open = jobs.filter { it.hasReadyTask() && (!it.isInherited || earlierRuns.areKnown(it.queue, now)) }
+            val recordedByQueue = HashMap<String, List<WorkerEntry>>()
             order.sorted(open, now).forEach { job ->
+                val queueName = job.queue.name
+                val recorded =
+                    recordedByQueue.getOrPut(queueName) { workers.filter { state.roster.mayHold(it, queueName) } }
                 job.open.values.forEach { occurrence ->
                     occurrence.steps.filter { it.isOpen && !it.isDone }.forEach { step ->
                         val limit = configuration.teams[job.record.teamName]?.limit
-                        StepPass(step, workers, limit, now).run()
+                        StepPass(step, recorded, limit, now).run()
                     }
                 }
             }
@@ -48,29 +52,16 @@
     ) {
         jobs.filter { it.mayRunCopies }.forEach { job ->
             val limit = configuration.teams[job.record.teamName]?.limit
+            val recorded = workers.filter { state.roster.mayHold(it, job.queue.name) }
             job.open.values
                 .flatMap { it.steps }
                 .filter { it.isOpen && !it.isDone && it.specification.mayRunCopies }
-                .forEach { StepPass(it, workers, limit, now).runCopies() }
+                .forEach { StepPass(it, recorded, limit, now).runCopies() }
         }
     }
 
     private fun JobEntry.hasReadyTask() = tasks().any { it.phase == TaskPhase.READY }
 
-    /**
-     * Whether the runs of earlier owners on workers of [service] are known: each worker has answered under this epoch,
-     * or every lease that an earlier owner may have sent it has passed.
-     */
-    fun isSettled(
-        service: String,
-        now: Long,
-    ): Boolean {
-        val leaseMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK).toLong()
-        val boundMillis = state.limits.ownerLeaseMillis + leaseMillis + state.limits.clockMarginMillis
-        if (now - state.startedAtMillis > boundMillis) return true
-        return state.isListKnown && state.workers.values.none { it.listed.serviceName == service && !it.isHeard }
-    }
-
     private inner class StepPass(
         private val step: StepEntry,
         private val workers: List<WorkerEntry>,
@@ -152,7 +143,7 @@
                     worker != null
                 }
             if (!fits) {
-                tentative.forEach { runs.gone(it, now) }
+                tentative.forEach { runs.gone(it, "never ordered", now) }
                 return 0
             }
             ready.forEach { it.checkpoint = checkpoint }
@@ -198,7 +189,7 @@
                 NoteKind.RUN_ORDERED,
                 task.id.toString(),
                 "run ${run.runId} on ${worker.id}, free ${worker.free.cpuMillis}m, " +
-                    "waited ${now - task.readySinceMillis} ms",
+                    "waited ${now - task.readySinceMillis} ms, ${task.lastRun}",
             )
             if (job.state == JobState.QUEUED) {
                 job.state = JobState.ACTIVE
