--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderAnswers.kt
@@ -37,7 +37,12 @@
 
             is OrderOutcome.Unanswered -> retry(worker, run, order, isUncertain = true)
             is OrderOutcome.NotSent ->
-                if (run.isUncertain) retry(worker, run, order, true) else giveUp(run, "not sent: ${outcome.cause}", now)
+                if (mayHaveBegun(run)) {
+                    retry(worker, run, order, isUncertain = false)
+                } else {
+                    giveUp(run, "not sent: ${outcome.cause}", now)
+                }
+
             is OrderOutcome.Refused -> return refused(worker, run, outcome.refusal, now)
         }
         return true
@@ -78,7 +83,9 @@
             // It began and has ended, which the worker lists, or it was stopped before it came.
             refusal == StartRefusal.OLD_RUN -> confirm(run, now)
             refusal == StartRefusal.OTHER_LIFE -> workers.drop(worker, "another worker answers at its address", now)
-            run.isUncertain && refusal != StartRefusal.LEASE_PASSED -> runs.stop(run, now)
+            // The worker has shown it, whatever a repeated order is told.
+            run.phase == RunPhase.RUNNING -> Unit
+            mayHaveBegun(run) -> runs.stop(run, now)
             else -> giveUp(run, "refused: $refusal", now)
         }
         return true
@@ -93,21 +100,26 @@
         runs.gone(run, evidence, now)
     }
 
-    /** Takes in the outcome of an order to stop; false after a higher epoch. */
+    // Only when a single copy of the order was sent does its refusal tell of the run. A copy without an answer may run under a
+    // lease that was prolonged since, or be carried out later, so that even a lease that has passed proves nothing.
+    private fun mayHaveBegun(run: Run) = run.isUncertain || run.confirmedAtMillis > 0
+
+    /** Takes in the outcome of an order to stop that was sent at [sentAtMillis]; false after a higher epoch. */
     fun stopped(
         workerId: String,
         taskId: TaskId,
         runId: Long,
         outcome: OrderOutcome,
         now: Long,
+        sentAtMillis: Long,
     ): Boolean {
         if (outcome is OrderOutcome.Refused && outcome.refusal == StartRefusal.FENCED) return false
-        val run =
-            state.workers[workerId]
-                ?.runs
-                ?.get(taskId)
-                ?.takeIf { it.runId == runId } ?: return true
-        if (outcome is OrderOutcome.Done) run.stopConfirmedAtMillis = now
+        val worker = state.workers[workerId] ?: return true
+        val run = worker.runs[taskId]?.takeIf { it.runId == runId } ?: return true
+        // Perhaps an answer of the life before, whose stops the life of now does not know.
+        if (sentAtMillis < worker.lifeSinceMillis) return true
+        // The first answer counts: repeated stops are answered more often than quiet workers list.
+        if (outcome is OrderOutcome.Done && run.stopConfirmedAtMillis == 0L) run.stopConfirmedAtMillis = now
         return true
     }
 }
