--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -19,14 +19,19 @@
     ): Boolean {
         // Workers that come later are not in the roster of an earlier owner, so that they hold none of its runs.
         if (queue.name in knownQueues) return true
-        val silent = state.workers.values.filter { !it.isWhollyListed && mayHold(it, queue) }
+        val silent = state.workers.values.filter { mayHold(it, queue) && !it.hasToldAll }
         // Leases of workers that answer are renewed, so that only their lists tell.
         val areKnown =
-            if (haveLapsed(now)) silent.none { it.isHeard } else state.areWorkersKnown && silent.isEmpty()
+            if (haveLapsed(now)) silent.none { isRenewed(it, now) } else state.areWorkersKnown && silent.isEmpty()
         if (areKnown && knownQueues.add(queue.name)) note(queue, silent, now)
         return areKnown
     }
 
+    private fun isRenewed(
+        worker: WorkerEntry,
+        now: Long,
+    ) = worker.isHeard && !worker.hasSurelyLapsed(now, state.limits)
+
     private fun mayHold(
         worker: WorkerEntry,
         queue: QueueConfiguration,
@@ -50,7 +55,7 @@
         silent: List<WorkerEntry>,
         now: Long,
     ) {
-        val heard = state.workers.values.filter { it.isWhollyListed && mayHold(it, queue) }
+        val heard = state.workers.values.filter { mayHold(it, queue) && it.hasToldAll }
         val unlisted = heard.filter { !it.isListed }.joinToString { it.id }.ifEmpty { "none" }
         val unheard = silent.joinToString { it.id }.ifEmpty { "none" }
         val tookMillis = now - state.startedAtMillis
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.ports.ListedWorker
 
 /** Everything that the parts of the engine share. */
 internal class EngineState(
@@ -22,8 +23,17 @@
     /** What waits for room on workers of each service and for nothing else, as of the last decision. */
     val wantedByService = HashMap<String, Amount>()
 
-    /** Workers whose machine was taken down by order, until the platform's list drops them. */
-    val endedWorkers = HashSet<String>()
+    /** Workers whose machine was taken down, with the start of that life, until the platform's list drops them. */
+    val endedWorkers = HashMap<String, Long?>()
+
+    /** Whether [listed] is a life that ended with its machine; when its start was not known, each life under its id is. */
+    fun isEndedLife(listed: ListedWorker): Boolean {
+        val workerId = listed.address.workerId
+        if (workerId !in endedWorkers) return false
+        val endedUnixMillis = endedWorkers[workerId]
+        return endedUnixMillis == null || endedUnixMillis == listed.bornUnixMillis
+    }
+
     var configuration: JobsConfiguration? = null
 
     /** Whether the platform's list of workers was read in this epoch. */
@@ -39,8 +49,8 @@
     private val endings = HashMap<String, JobChange>()
     private var runCounter = 0L
 
-    // Jobs that ended in this epoch: their rows may be read once more before the end is stored.
-    private val endedIds = LinkedHashSet<String>()
+    // Jobs that have ended, until their rows are removed.
+    private val endedIds = HashSet<String>()
 
     fun act(action: EngineAction) {
         actions += action
@@ -79,7 +89,11 @@
     fun rememberEnd(id: String) {
         endedIds += id
         earlyCancellations -= id
-        if (endedIds.size > REMEMBERED_ENDS) endedIds.remove(endedIds.first())
+    }
+
+    /** Takes note that no row holds the job [id] any more, so that it cannot be read again. */
+    fun forgetEnd(id: String) {
+        endedIds -= id
     }
 
     /** Jobs whose cancellation was read before the job itself. */
@@ -89,7 +103,7 @@
     fun cancelledEarly(id: String) {
         if (hasEnded(id)) return
         earlyCancellations += id
-        if (earlyCancellations.size > REMEMBERED_ENDS) earlyCancellations.remove(earlyCancellations.first())
+        if (earlyCancellations.size > MOST_EARLY_CANCELLATIONS) earlyCancellations.remove(earlyCancellations.first())
     }
 
     /** Whether the job [id] may have been accepted and is not read yet. */
@@ -114,7 +128,7 @@
         // A run number must fit into 53 bits, so that every JSON reader keeps it whole.
         const val RUNS_PER_EPOCH = 10_000_000L
 
-        // Far more jobs than can end while one write is on its way.
-        const val REMEMBERED_ENDS = 50_000
+        // Far more than can be read before their jobs.
+        const val MOST_EARLY_CANCELLATIONS = 50_000
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -76,6 +76,7 @@
                     launch { WorkFollower(ports.store, engine, clock, workVersion, ::wake).run() }
                     launch { WorkerFollower(ports.workerList, engine, clock, ::wake).run() }
                     launch { decideLoop(this) }
+                    janitor.onRetired = engine.state::forgetEnd
                     launch { janitor.run() }
                     news?.let { launch { it.beat(engine.state.epoch) } }
                     ports.waves?.let { waves ->
@@ -183,6 +184,7 @@
         scope: CoroutineScope,
         address: WorkerAddress,
     ) {
+        if (drivers[address.workerId]?.address != address) drivers.remove(address.workerId)?.close()
         val driver =
             drivers.getOrPut(address.workerId) {
                 WorkerDriver(address, ports.workers.listings(address), engine, clock, settings).also {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -1,5 +1,8 @@
 package org.verbenagauge.entry.jobs.owner
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
@@ -90,7 +93,13 @@
     ) {
         val epoch = (seen.record?.epoch ?: 0) + 1
         val record =
-            OwnerRecord(entryId, epoch, sequence = 0, writtenUnixMillis = clock.wallMillis(), keepsRoster = true)
+            OwnerRecord(
+                entryId = entryId,
+                epoch = epoch,
+                sequence = 0,
+                writtenUnixMillis = clock.wallMillis(),
+                keepsRoster = seen.record?.keepsRoster ?: true,
+            )
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
             ports.store.transact(
@@ -138,10 +147,16 @@
         newEngine: JobEngine,
         janitor: Janitor,
     ): Long? {
-        val states = readAll(listOf(StoredTables.states)) ?: return null
-        val work = readAll(StoredTables.work) ?: return null
-        val progress = readAll(listOf(StoredTables.progress)) ?: return null
-        val roster = readAll(listOf(StoredTables.roster)) ?: return null
+        // At once, since the row is not renewed meanwhile. No earlier owner can write any more.
+        val places =
+            listOf(
+                listOf(StoredTables.states),
+                StoredTables.work,
+                listOf(StoredTables.progress),
+                listOf(StoredTables.roster),
+            )
+        val read = coroutineScope { places.map { async { readAll(it) } }.awaitAll() }
+        val (states, work, progress, roster) = read.map { it ?: return null }
         states.rows.forEach { row ->
             val jobId = StoredTables.jobOf(row.key) ?: return@forEach
             val record = row.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
