Begin above all epochs after a row of the owner that cannot be read, and wait for the leases

What callers would see: double runs, or no starts for as many terms as there were epochs. Cause: a row that cannot be read counted as none, so that the epoch began at 1 and no worker was waited for. Change: the version of the row, which rises with each transaction, stands for its epoch. Evidence: a case of RosterOfABriefOwnerTest, red before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -91,14 +91,15 @@
         seen: SeenOwner,
         current: JobsConfiguration,
     ) {
-        val epoch = (seen.record?.epoch ?: 0) + 1
+        // Versions rise with each transaction, so that the version of a row that cannot be read is above its epoch.
+        val epoch = (seen.record?.epoch ?: seen.version) + 1
         val record =
             OwnerRecord(
                 entryId = entryId,
                 epoch = epoch,
                 sequence = 0,
                 writtenUnixMillis = clock.wallMillis(),
-                keepsRoster = seen.record?.keepsRoster ?: true,
+                keepsRoster = seen.record?.keepsRoster ?: (seen.version == 0L),
             )
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
@@ -116,7 +117,7 @@
         val chain = OwnerChain(ports.store, clock, record, outcome.version, sentAtMillis)
         val newEngine = JobEngine(record.epoch, limits(), clock.monotonicMillis())
         newEngine.configure(current)
-        newEngine.state.isRosterKnown = seen.record?.keepsRoster ?: true
+        newEngine.state.isRosterKnown = record.keepsRoster
         val janitor = Janitor(ports.store, clock)
         val workVersion = inherit(newEngine, janitor) ?: return
         serve(chain, newEngine, janitor, workVersion)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RosterOfABriefOwnerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RosterOfABriefOwnerTest.kt
@@ -124,19 +124,22 @@
 )
 
 @OptIn(ExperimentalCoroutinesApi::class)
-private suspend fun TestScope.play(case: BriefCase): Int {
+private suspend fun TestScope.play(
+    case: BriefCase,
+    ownerBytes: ByteArray? = null,
+    store: RereadStore = RereadStore(MemoryRowStore(), case.failures),
+): Int {
     val clock =
         object : Clock {
             override fun monotonicMillis() = testScheduler.currentTime + 10_000
 
             override fun wallMillis() = testScheduler.currentTime + 10_000
         }
-    val store = RereadStore(MemoryRowStore(), case.failures)
     val owner = OwnerRecord("", epoch = 1, sequence = 5, writtenUnixMillis = 9_000, keepsRoster = case.keepsRoster)
     val place = StoredTables.work(JOB)
     val bytes = RecordCodec.encode(JobRecord.serializer(), job(step(1, isLasting = true)))
     store.transact(emptyList(), listOf(RowChange(place, StoredTables.jobKey(JOB), bytes)), 100)
-    val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(owner))
+    val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, ownerBytes ?: OwnerChain.encode(owner))
     store.transact(emptyList(), listOf(row), 100)
     val catalogue = StateCatalogue(store, clock)
     val workers = OneListed()
@@ -172,4 +175,18 @@
                 runTest { play(case) shouldBe case.starts }
             }
         }
+
+        test(
+            "after a row of the owner that cannot be read, an inherited task waits and the epoch is above all before",
+        ) {
+            runTest {
+                val store = RereadStore(MemoryRowStore(), failures = 0)
+                val case = BriefCase("unreadable", keepsRoster = true, failures = 0, starts = 0)
+                play(case, ownerBytes = byteArrayOf(7), store) shouldBe case.starts
+                val row = checkNotNull(store.rows.row(StoredTables.states, StoredTables.OWNER_KEY)?.value)
+                val epoch = checkNotNull(RecordCodec.decode(OwnerRecord.serializer(), row)).epoch
+                // The unreadable row was the second transaction.
+                (epoch > 2) shouldBe true
+            }
+        }
     })
