--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OrderAfterPauseTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OrderAfterPauseTest.kt
@@ -4,7 +4,6 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
@@ -17,24 +16,12 @@
 import org.verbenagauge.entry.jobs.engine.JobEngine
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
-import org.verbenagauge.entry.jobs.engine.listing
 import org.verbenagauge.entry.jobs.engine.step
-import org.verbenagauge.entry.jobs.engine.worker
-import org.verbenagauge.entry.jobs.model.TaskId
-import org.verbenagauge.entry.jobs.ports.ListedWorker
-import org.verbenagauge.entry.jobs.ports.ListingOutcome
-import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.ReadResult
-import org.verbenagauge.entry.jobs.ports.Renewal
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowFeed
 import org.verbenagauge.entry.jobs.ports.RowStore
-import org.verbenagauge.entry.jobs.ports.StartOrder
-import org.verbenagauge.entry.jobs.ports.WorkerAddress
-import org.verbenagauge.entry.jobs.ports.WorkerGateway
-import org.verbenagauge.entry.jobs.ports.WorkerList
-import org.verbenagauge.entry.jobs.ports.WorkerListings
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
@@ -71,55 +58,6 @@
         }
 }
 
-private class CountingWorkers :
-    WorkerGateway,
-    WorkerList {
-    val starts = ArrayList<StartOrder>()
-
-    override suspend fun follow(
-        onAll: (List<ListedWorker>) -> Unit,
-        onChange: (workerId: String, worker: ListedWorker?) -> Unit,
-    ) {
-        onAll(listOf(worker("w1")))
-        awaitCancellation()
-    }
-
-    override fun listings(address: WorkerAddress): WorkerListings =
-        object : WorkerListings {
-            override val isProven = true
-
-            override suspend fun list(renewal: Renewal): ListingOutcome {
-                delay(renewal.waitMillis)
-                return listing()
-            }
-
-            override fun close() = Unit
-        }
-
-    override suspend fun start(
-        address: WorkerAddress,
-        order: StartOrder,
-    ): OrderOutcome {
-        starts += order
-        return OrderOutcome.Done(1_000)
-    }
-
-    override suspend fun stop(
-        address: WorkerAddress,
-        taskId: TaskId,
-        runId: Long,
-        fencingToken: Long,
-    ): OrderOutcome = OrderOutcome.Done(1_000)
-
-    override suspend fun pace(
-        address: WorkerAddress,
-        taskId: TaskId,
-        runId: Long,
-        percentage: Int,
-        fencingToken: Long,
-    ): OrderOutcome = OrderOutcome.Done(1_000)
-}
-
 private data class PauseCase(
     val name: String,
     val steadyMillis: Long,
@@ -129,7 +67,7 @@
 
 /** Plays one owner's term whose process stands still, as [case] tells, right after it has decided on a start. */
 @OptIn(ExperimentalCoroutinesApi::class)
-private suspend fun TestScope.playTerm(case: PauseCase): CountingWorkers {
+private suspend fun TestScope.playTerm(case: PauseCase): OneWorker {
     val clock = PausingClock { testScheduler.currentTime }
     val store = QuietStore(MemoryRowStore())
     val record = OwnerRecord("a", epoch = 1, sequence = 0)
@@ -147,7 +85,7 @@
                 repeat(REFUSED_WRITES) { store.rows.faults += StoreFault.REFUSED }
             }
         }
-    val workers = CountingWorkers()
+    val workers = OneWorker()
     val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
     val janitor = Janitor(store, clock)
     val term = OwnerTerm(ports, chain, engine, janitor, workVersion = 1, clock, OwnerSettings(), log, news = null)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RosterOfABriefOwnerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RosterOfABriefOwnerTest.kt
@@ -4,7 +4,6 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
@@ -15,27 +14,14 @@
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
-import org.verbenagauge.entry.jobs.engine.listing
-import org.verbenagauge.entry.jobs.engine.running
 import org.verbenagauge.entry.jobs.engine.step
-import org.verbenagauge.entry.jobs.engine.worker
 import org.verbenagauge.entry.jobs.front.StateCatalogue
-import org.verbenagauge.entry.jobs.model.TaskId
-import org.verbenagauge.entry.jobs.ports.ListedWorker
-import org.verbenagauge.entry.jobs.ports.ListingOutcome
-import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.ReadResult
-import org.verbenagauge.entry.jobs.ports.Renewal
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowFeed
 import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
-import org.verbenagauge.entry.jobs.ports.StartOrder
-import org.verbenagauge.entry.jobs.ports.WorkerAddress
-import org.verbenagauge.entry.jobs.ports.WorkerGateway
-import org.verbenagauge.entry.jobs.ports.WorkerList
-import org.verbenagauge.entry.jobs.ports.WorkerListings
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
@@ -67,55 +53,6 @@
         }
 }
 
-private class OneListed :
-    WorkerGateway,
-    WorkerList {
-    val starts = ArrayList<StartOrder>()
-
-    override suspend fun follow(
-        onAll: (List<ListedWorker>) -> Unit,
-        onChange: (workerId: String, worker: ListedWorker?) -> Unit,
-    ) {
-        onAll(listOf(worker("w2")))
-        awaitCancellation()
-    }
-
-    override fun listings(address: WorkerAddress): WorkerListings =
-        object : WorkerListings {
-            override val isProven = true
-
-            override suspend fun list(renewal: Renewal): ListingOutcome {
-                delay(renewal.waitMillis + 1)
-                return listing(running = starts.map { running(it.taskId, it.runId) })
-            }
-
-            override fun close() = Unit
-        }
-
-    override suspend fun start(
-        address: WorkerAddress,
-        order: StartOrder,
-    ): OrderOutcome {
-        starts += order
-        return OrderOutcome.Done(1_000)
-    }
-
-    override suspend fun stop(
-        address: WorkerAddress,
-        taskId: TaskId,
-        runId: Long,
-        fencingToken: Long,
-    ): OrderOutcome = OrderOutcome.Done(1_000)
-
-    override suspend fun pace(
-        address: WorkerAddress,
-        taskId: TaskId,
-        runId: Long,
-        percentage: Int,
-        fencingToken: Long,
-    ): OrderOutcome = OrderOutcome.Done(1_000)
-}
-
 private data class BriefCase(
     val name: String,
     val keepsRoster: Boolean,
@@ -142,7 +79,7 @@
     val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, ownerBytes ?: OwnerChain.encode(owner))
     store.transact(emptyList(), listOf(row), 100)
     val catalogue = StateCatalogue(store, clock)
-    val workers = OneListed()
+    val workers = OneWorker()
     val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
     val ownership =
         Ownership("a", ports, catalogue, clock, OwnerSettings(), { EngineLimits() }, EventLog("a"), { 0 })
