Lose no message to a peer that is queued as the next keepalive is due

What callers would see: a state told late, a call to the store through a peer that gets no answer, a beat of the owner that is missing. Cause: a receive under a timeout loses an element that comes as the time is over. Change: a select of both, which loses none. Evidence: MessageAtKeepaliveTest, one of three cases red with the receive under a timeout; the other receives of this kind take signals only, which count as come when the time is over.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerConnection.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/PeerConnection.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.withTimeoutOrNull
 import org.verbenagauge.entry.model.PeerId
 import java.io.IOException
 import java.security.SecureRandom
@@ -68,7 +67,7 @@
 
     private suspend fun write() {
         while (true) {
-            val first = withTimeoutOrNull(context.limits.keepaliveMillis) { queue.receive() } ?: keepalive
+            val first = queue.receiveWithin(context.limits.keepaliveMillis) ?: keepalive
             writePayload(first)
             while (true) writePayload(queue.tryReceive().getOrNull() ?: break)
             output.flush()
