--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -83,12 +83,8 @@
     ) {
         val id = end.taskId ?: return
         val run = worker.runs[id]?.takeIf { it.runId <= end.runId }
-        if (state.isUnreadJob(
-                id.jobId,
-            )
-        ) {
-            state.endsOfUnreadJobs.keep(EndOfUnreadJob(worker.id, worker.bornUnixMillis, end, now))
-        }
+        val isUnread = state.isUnreadJob(id.jobId)
+        if (isUnread) state.endsOfUnreadJobs.keep(EndOfUnreadJob(worker.id, worker.bornUnixMillis, end, now))
         val task = taskOf(id, now)
         if (end.kind != EndKind.DONE) {
             state.note(NoteKind.RUN_ENDED, id.toString(), "run ${end.runId} on ${worker.id}: ${end.kind}")
