Measure the job engine by workers and waiting jobs

What was missing: nothing outside the users' bench told what a start costs the engine, so that nothing showed how it grows with the fleet. bin/bench engine-scale plays the engine in virtual time against workers that do all they are told, with 50 to 1,200 workers and 100 to 20,000 jobs waiting, and prints processor time and bytes a start and the time of a decision.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/Main.kt
@@ -3,6 +3,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import org.verbenagauge.bench.engine.EngineScaleCommand
 import org.verbenagauge.bench.rights.RightsControlCommand
 import org.verbenagauge.bench.rights.RightsSharesCommand
 import org.verbenagauge.bench.rights.RightsStrandedCommand
@@ -32,4 +33,5 @@
         PeersCommand(),
         FleetRolloutCommand(),
         FleetStepCommand(),
+        EngineScaleCommand(),
     )
