Keep the duty while a new owner reads what it inherits

Cause: the owner's row was not renewed while a new owner read rows; after 1.9 s it counted as vacant, and the next one began anew. Change: the row is renewed while it reads (OwnerRenewal), rows are taken in in turns so that the renewal is not held up, and the count of waiting jobs of the owner before stays until the new one can count. A stop in the middle of a takeover gives the duty up. Measured: TakeoversWhileTheStoreIsSlowTest, reads of 2.5 and 6 s and the count of waiting jobs: three tests red before, green now.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.owner
 
+import kotlinx.coroutines.delay
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
@@ -70,6 +71,20 @@
         pending = PendingWrite(record.copy(entryId = "", sequence = record.sequence + 1), emptyList())
     }
 
+    /** Whether [renewMillis] have passed since the last write that is known to be stored was sent. */
+    fun isDue(renewMillis: Long): Boolean = clock.monotonicMillis() - confirmedSentAtMillis >= renewMillis
+
+    /** Repeats the write that was begun until it is stored or the duty is lost. */
+    suspend fun settle(): ChainOutcome.Lost? {
+        while (true) {
+            when (val outcome = attempt(WRITE_TIMEOUT_MILLIS)) {
+                is ChainOutcome.Stored -> return null
+                is ChainOutcome.Lost -> return outcome
+                is ChainOutcome.Open -> delay(RETRY_MILLIS)
+            }
+        }
+    }
+
     /** Sends the write that was begun. */
     suspend fun attempt(timeoutMillis: Long): ChainOutcome {
         val write = pending ?: return ChainOutcome.Stored
@@ -115,6 +130,9 @@
     )
 
     companion object {
+        private const val WRITE_TIMEOUT_MILLIS = 400L
+        private const val RETRY_MILLIS = 60L
+
         /** Encodes the row of the owner. */
         fun encode(record: OwnerRecord): ByteArray = RecordCodec.encode(OwnerRecord.serializer(), record)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -116,9 +116,9 @@
 
     private suspend fun giveUp() {
         withTimeoutOrNull(RELEASE_MILLIS) {
-            if (chain.isOpen && writer.settle() != null) return@withTimeoutOrNull
+            if (chain.isOpen && chain.settle() != null) return@withTimeoutOrNull
             chain.beginRelease()
-            writer.settle()
+            chain.settle()
         }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -78,7 +78,7 @@
         val retired = janitor.takeRetired(MOST_RETIRED).map { RowChange(StoredTables.states, it, null) }
         val isRosterWhole = engine.isRosterWhole(clock.monotonicMillis())
         chain.begin(roster.map(::row) + changes.flatMap(::rows) + retired, engine.pendingByQueue(), isRosterWhole)
-        val lost = settle()
+        val lost = chain.settle()
         if (lost != null) return lost
         engine.state.roster.stored(roster)
         engine.stored(marks)
@@ -88,17 +88,6 @@
         return null
     }
 
-    /** Repeats the write that was begun until it is stored or the duty is lost. */
-    suspend fun settle(): ChainOutcome.Lost? {
-        while (true) {
-            when (val outcome = chain.attempt(WRITE_TIMEOUT_MILLIS)) {
-                is ChainOutcome.Stored -> return null
-                is ChainOutcome.Lost -> return outcome
-                is ChainOutcome.Open -> delay(RETRY_MILLIS)
-            }
-        }
-    }
-
     private fun row(change: RosterChange): RowChange {
         val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
         return RowChange(StoredTables.roster, change.workerId, bytes)
@@ -129,7 +118,5 @@
         const val MOST_WORKERS = 40
         const val MOST_JOBS_BESIDE_WORKERS = 20
         const val MOST_RETIRED = 15
-        const val WRITE_TIMEOUT_MILLIS = 400L
-        const val RETRY_MILLIS = 60L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -1,9 +1,12 @@
 package org.verbenagauge.entry.jobs.owner
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.EngineLimits
@@ -11,17 +14,10 @@
 import org.verbenagauge.entry.jobs.front.SeenOwner
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
-import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
-import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
-import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.OwnerRecord
-import org.verbenagauge.entry.jobs.records.ProgressRecord
-import org.verbenagauge.entry.jobs.records.RecordCodec
-import org.verbenagauge.entry.jobs.records.RosterRecord
-import org.verbenagauge.entry.jobs.records.StateRecord
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
@@ -98,6 +94,8 @@
                 entryId = entryId,
                 epoch = epoch,
                 sequence = 0,
+                // Callers may ask before the new owner can count.
+                pendingByQueue = seen.record?.pendingByQueue.orEmpty(),
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = seen.record?.keepsRoster ?: (seen.version == 0L),
             )
@@ -119,7 +117,7 @@
         newEngine.configure(current)
         newEngine.state.isRosterKnown = record.keepsRoster
         val janitor = Janitor(ports.store, clock)
-        val workVersion = inherit(newEngine, janitor) ?: return
+        val workVersion = inherit(chain, newEngine, janitor) ?: return
         serve(chain, newEngine, janitor, workVersion)
     }
 
@@ -133,6 +131,7 @@
         engine = newEngine
         term = newTerm
         configuration?.let(newEngine::configure)
+        if (isStopping) newTerm.release()
         try {
             val reason = newTerm.run()
             log.write(Event.OWNERSHIP_LOST, "epoch ${chain.record.epoch}: $reason")
@@ -143,62 +142,32 @@
         delay(AFTER_LOSS_MILLIS)
     }
 
-    // Returns the version up to which accepted jobs were read; null when the store did not answer.
+    // Others take a row that does not change for that of an owner that is gone, however long reading takes.
     private suspend fun inherit(
+        chain: OwnerChain,
         newEngine: JobEngine,
         janitor: Janitor,
-    ): Long? {
-        // At once, since the row is not renewed meanwhile. No earlier owner can write any more.
-        val places =
-            listOf(
-                listOf(StoredTables.states),
-                StoredTables.work,
-                listOf(StoredTables.progress),
-                listOf(StoredTables.roster),
-            )
-        val read = coroutineScope { places.map { async { readAll(it) } }.awaitAll() }
-        val (states, work, progress, roster) = read.map { it ?: return null }
-        states.rows.forEach { row ->
-            val jobId = StoredTables.jobOf(row.key) ?: return@forEach
-            val record = row.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
-            if (record?.state?.isFinal == true) {
-                newEngine.state.rememberEnd(jobId)
-                janitor.ended(jobId, record.sinceUnixMillis)
-            }
-        }
-        val progressByJob = progress.rows.associateBy { it.key }
-        val now = clock.monotonicMillis()
-        val wallMillis = clock.wallMillis()
-        work.rows.forEach { row ->
-            val jobId = StoredTables.jobOf(row.key) ?: return@forEach
-            val record = row.value?.let { RecordCodec.decode(JobRecord.serializer(), it) } ?: return@forEach
-            val known =
-                progressByJob[jobId]?.value?.let { RecordCodec.decode(ProgressRecord.serializer(), it) }
-            val ageMillis = (wallMillis - record.acceptedUnixMillis).coerceAtLeast(0)
-            newEngine.inherit(jobId, record, known, now - ageMillis, now)
-        }
-        work.rows.mapNotNull { StoredTables.cancelledOf(it.key) }.forEach { newEngine.cancel(it, now) }
-        roster.rows.forEach { row ->
-            val record = row.value?.let { RecordCodec.decode(RosterRecord.serializer(), it) }
-            if (record != null) {
-                newEngine.recall(row.key, record, now)
-            } else {
-                newEngine.state.isRosterKnown = false
-                log.write(Event.DOCUMENT_UNREADABLE, row.key, "a worker of the roster; its leases are waited for")
-            }
-        }
-        val counts = "${work.rows.size} rows of work, ${progress.rows.size} of progress, ${roster.rows.size} of workers"
-        log.write(Event.JOBS_INHERITED, counts)
-        return work.version
-    }
-
-    private suspend fun readAll(places: List<RowPlace>) =
-        when (val read = ports.store.readAll(places)) {
-            is ReadResult.Read -> read.value
-            else -> {
-                log.write(Event.OWNERSHIP_NOT_TAKEN, "'${places.first().table}' could not be read: $read")
-                null
-            }
+    ): Long? =
+        coroutineScope {
+            val reading = async { Inheritance(ports.store, clock, log).read(newEngine, janitor) }
+            val renewing =
+                launch {
+                    val lost = OwnerRenewal(chain, settings).renewWhile { reading.isActive } ?: return@launch
+                    log.write(
+                        Event.OWNERSHIP_LOST,
+                        "epoch ${chain.record.epoch}: to '${lost.to?.entryId}' while reading",
+                    )
+                    reading.cancel()
+                }
+            val workVersion =
+                try {
+                    reading.await()
+                } catch (e: CancellationException) {
+                    currentCoroutineContext().ensureActive()
+                    null
+                }
+            renewing.join()
+            workVersion
         }
 
     private companion object {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/EndsUnacknowledgedAfterDoubtTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/EndsUnacknowledgedAfterDoubtTest.kt
@@ -66,7 +66,7 @@
                 val running = backgroundScope.launch { driver.run(writer) { } }
                 advanceTimeBy(100)
                 chain.begin(emptyList(), emptyMap())
-                writer.settle()
+                chain.settle()
                 advanceTimeBy(1_000)
                 driver.wake()
                 advanceTimeBy(500)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoversWhileTheStoreIsSlowTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoversWhileTheStoreIsSlowTest.kt
@@ -12,6 +12,7 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.MemoryRowStore
 import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.QUEUE
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.ports.ReadResult
@@ -23,6 +24,7 @@
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
 import org.verbenagauge.entry.jobs.records.OwnerRecord
+import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
@@ -69,16 +71,24 @@
     val readMillis: Long,
 )
 
+private class SlowPlay(
+    val lost: List<String>,
+    val row: OwnerRecord,
+)
+
 @OptIn(ExperimentalCoroutinesApi::class)
-private suspend fun TestScope.play(case: SlowCase): List<String> {
+private suspend fun TestScope.play(
+    readMillis: Long,
+    playMillis: Long = PLAY_MILLIS,
+): SlowPlay {
     val clock =
         object : Clock {
             override fun monotonicMillis() = testScheduler.currentTime + 10_000
 
             override fun wallMillis() = testScheduler.currentTime + 10_000
         }
-    val store = SlowStore(MemoryRowStore(), case.readMillis, writeMillis = 300)
-    val owner = OwnerRecord("", epoch = 1, sequence = 5, writtenUnixMillis = 9_000, keepsRoster = true)
+    val store = SlowStore(MemoryRowStore(), readMillis, writeMillis = 300)
+    val owner = OwnerRecord("", epoch = 1, sequence = 5, pendingByQueue = mapOf(QUEUE to 7), keepsRoster = true)
     val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(owner))
     store.rows.transact(emptyList(), listOf(row), 100)
     val workers = OneWorker()
@@ -99,15 +109,16 @@
                 launch { ownership.run() }
             }
         }
-    advanceTimeBy(PLAY_MILLIS)
+    advanceTimeBy(playMillis)
     parts.cancel()
-    return lost
+    val read = store.rows.read(StoredTables.states, StoredTables.OWNER_KEY, 100) as ReadResult.Read
+    val held = checkNotNull(read.value?.value?.let { RecordCodec.decode(OwnerRecord.serializer(), it) })
+    return SlowPlay(lost, held)
 }
 
 private const val FEED_MILLIS = 100L
 private const val PLAY_MILLIS = 20_000L
 
-// A new owner does not renew its row while it reads what it inherits, one table after the other.
 class TakeoversWhileTheStoreIsSlowTest :
     FunSpec({
         context("the duty passes on once while a read of the store takes") {
@@ -116,8 +127,22 @@
                 SlowCase("a tenth of a second", readMillis = 100),
                 SlowCase("four tenths of a second", readMillis = 400),
                 SlowCase("six tenths of a second", readMillis = 600),
+                SlowCase("longer than others wait for a renewal", readMillis = 2_500),
+                SlowCase("far longer than others wait for a renewal", readMillis = 6_000),
             ) { case ->
-                runTest { play(case) shouldBe emptyList() }
+                runTest {
+                    val play = play(case.readMillis)
+                    play.lost shouldBe emptyList()
+                    play.row.epoch shouldBe 2
+                }
+            }
+        }
+
+        test("what waits is told as before while a new owner reads") {
+            runTest {
+                val play = play(readMillis = 4_000, playMillis = 7_000)
+                play.row.epoch shouldBe 2
+                play.row.pendingByQueue shouldBe mapOf(QUEUE to 7)
             }
         }
     })
