Decide on what changed instead of looking at every job and worker for each event

What callers saw: at hundreds of workers the owner's process was short of processor, so that first starts came late in each turn and the lease passed in the middle of it. Cause: each answer of a worker made the engine group, rank and sort all jobs, filter all workers and walk all runs several times. Change: jobs that wait are kept in order by service (ReadyJobs: a change, or time that passes, moves one job), workers by service and machine, jobs without a start and runs of jobs not read by counts. A pass ends after 200 jobs that find no room, and what is larger than what found none is not tried again in it. Events of 3 ms share a decision; what only time changes is looked at every 50 ms. A task that avoids a worker no longer holds up the other tasks of its step. Expected run times are told anew when they change by 5%.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EndsOfUnreadJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EndsOfUnreadJobs.kt
@@ -51,6 +51,7 @@
         seenEnd: Long,
     ): Long =
         endsByJob.values
+            .asSequence()
             .flatten()
             .filter { it.workerId == worker.id && it.bornUnixMillis == worker.bornUnixMillis }
             .minOfOrNull { it.end.number - 1 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -11,7 +11,14 @@
     val startedAtMillis: Long,
 ) {
     val jobs = HashMap<String, JobEntry>()
-    val workers = HashMap<String, WorkerEntry>()
+    private val workerById = HashMap<String, WorkerEntry>()
+    private val workersByService = HashMap<String, LinkedHashSet<WorkerEntry>>()
+    private val workersByMachine = HashMap<String, LinkedHashSet<WorkerEntry>>()
+
+    /** Workers by id; changed by [add], [relist] and [remove]. */
+    val workers: Map<String, WorkerEntry> get() = workerById
+    val pending = PendingJobs()
+    val runsOfUnreadJobs = RunsOfUnreadJobs()
     val roster = WorkerRoster()
     val quota = QuotaLedger()
     val endsOfUnreadJobs = EndsOfUnreadJobs()
@@ -26,6 +33,36 @@
     /** Workers whose machine was taken down, with the start of that life, until the platform's list drops them. */
     val endedWorkers = HashMap<String, Long?>()
 
+    /** Workers of [serviceName]. */
+    fun workersOf(serviceName: String): Collection<WorkerEntry> = workersByService[serviceName].orEmpty()
+
+    /** Workers of which the list said that they run on [machineId]. */
+    fun workersOn(machineId: String): Collection<WorkerEntry> = workersByMachine[machineId].orEmpty()
+
+    /** Takes in [worker]. */
+    fun add(worker: WorkerEntry) {
+        workerById[worker.id] = worker
+        workersByService.getOrPut(worker.listed.serviceName) { LinkedHashSet() } += worker
+        workersByMachine.getOrPut(worker.listed.machineId) { LinkedHashSet() } += worker
+    }
+
+    /** Takes in what the platform's list says of [worker] now. */
+    fun relist(
+        worker: WorkerEntry,
+        listed: ListedWorker,
+    ) {
+        remove(worker)
+        worker.updateListed(listed)
+        add(worker)
+    }
+
+    /** Takes [worker] out. */
+    fun remove(worker: WorkerEntry) {
+        workerById.remove(worker.id)
+        workersByService[worker.listed.serviceName]?.remove(worker)
+        workersByMachine[worker.listed.machineId]?.remove(worker)
+    }
+
     /** Whether [listed] is a life that ended with its machine; when its start was not known, each life under its id is. */
     fun isEndedLife(listed: ListedWorker): Boolean {
         val workerId = listed.address.workerId
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -29,6 +29,12 @@
     val step: StepEntry,
 ) {
     var phase = TaskPhase.BLOCKED
+        set(value) {
+            if (field == value) return
+            val wasReady = field == TaskPhase.READY
+            field = value
+            step.phaseChanged(wasReady, isReady = value == TaskPhase.READY)
+        }
     var run: Run? = null
 
     /** Second run of the same task, where the caller allows copies. */
@@ -61,10 +67,44 @@
     val tasks =
         List(specification.taskCount) { TaskEntry(TaskId(occurrence.job.id, occurrence.number, index, it), this) }
     var doneCount = 0
+
+    /** Tasks that may start. */
+    var readyCount = 0
+        private set
     var isOpen = false
     var tickets: Tickets? = null
     val isDone: Boolean get() = doneCount == tasks.size
     val key: String get() = "${occurrence.job.id}.${occurrence.number}.$index"
+
+    /** Room that [tasks] tasks take; fillers use only the processor that others leave over. */
+    fun room(tasks: Int): Amount {
+        val one = specification.amount
+        val cpuMillis = if (specification.isFiller) 0 else one.cpuMillis
+        return Amount(cpuMillis * tasks, one.memoryMegabytes * tasks, one.gpus * tasks)
+    }
+
+    /** Takes note that a task that [wasReady] to start [isReady] now. */
+    fun phaseChanged(
+        wasReady: Boolean,
+        isReady: Boolean,
+    ) {
+        val change = (if (isReady) 1 else 0) - (if (wasReady) 1 else 0)
+        readyCount += change
+        occurrence.job.readyCount += change
+        occurrence.job.listener?.tasksChanged(this, change)
+    }
+}
+
+/** Is told when tasks of a job change. */
+internal interface JobListener {
+    /** A task of [step] has changed; [readyChange] more of them may start. */
+    fun tasksChanged(
+        step: StepEntry,
+        readyChange: Int,
+    )
+
+    /** The first run of [job] was ordered or found. */
+    fun started(job: JobEntry)
 }
 
 /** Permissions of the advisor for one step; [byWorker] is null while the answer is awaited. */
@@ -98,8 +138,18 @@
     val doneOccurrences = HashSet<Int>()
     var state = JobState.QUEUED
 
+    /** Told of changes of tasks while the job is kept. */
+    var listener: JobListener? = null
+
+    /** Tasks that may start. */
+    var readyCount = 0
+
     /** Whether a run was ever ordered; kept while the job waits again. */
     var hasStarted = false
+        set(value) {
+            if (value && !field) listener?.started(this)
+            field = value
+        }
     val specification get() = record.specification
     val isLasting = record.specification.isLasting
     val hasGang = record.specification.steps.any { it.isGang }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -33,12 +33,13 @@
     val state = EngineState(epoch, limits, now)
     private val runs = RunKeeper(state)
     private val health = WorkerHealth(state)
-    private val registry = JobRegistry(state, runs)
+    internal val ready = ReadyJobs(order(state.runTimes), state.runTimes)
+    private val registry = JobRegistry(state, runs, ready)
     private val workers = WorkerKeeper(state, runs)
     private val answers = OrderAnswers(state, runs, health, workers)
     private val listings = ListingReader(state, registry, runs, health)
     private val earlierRuns = EarlierRuns(state)
-    private val scheduler = Scheduler(state, runs, order(state.runTimes), placement, copies, earlierRuns)
+    private val scheduler = Scheduler(state, runs, ready, placement, copies, earlierRuns)
     private val stuckGuard = StuckGuard(state, runs, health)
     private val paceGuard = PaceGuard(state)
     private val gangGuard = GangGuard(state, runs)
@@ -115,7 +116,7 @@
         if (state.isEndedLife(listed)) return
         if (known == null) {
             val worker = WorkerEntry(listed, now)
-            state.workers[listed.address.workerId] = worker
+            state.add(worker)
             state.act(EngineAction.Watch(listed.address))
             recordEarly(worker)
             return
@@ -123,7 +124,7 @@
         known.isListed = true
         val isOtherLife = listed.bornUnixMillis != 0L && listed.bornUnixMillis != known.bornUnixMillis
         val isMoved = listed.address != known.listed.address
-        known.updateListed(listed)
+        state.relist(known, listed)
         // Answers to what was sent to the address before tell nothing of the one at the new address.
         if (isMoved) known.lifeSinceMillis = now
         if (isOtherLife || isMoved) {
@@ -151,7 +152,7 @@
         state.roster.recall(workerId, record)
         val worker = WorkerEntry(recalled(workerId, record), now)
         worker.isListed = false
-        state.workers[workerId] = worker
+        state.add(worker)
         state.act(EngineAction.Watch(worker.listed.address))
     }
 
@@ -180,8 +181,10 @@
     ) {
         val machineId = heard.listed.machineId
         if (machineId.isEmpty()) return
-        state.workers.values
-            .filter { it !== heard && it.listed.machineId == machineId }
+        val machineWorkers = state.workersOn(machineId)
+        if (machineWorkers.size < 2) return
+        machineWorkers
+            .filter { it !== heard }
             .filter { it.seenAtMillis < sentAtMillis && it.lastAnswerMillis < sentAtMillis }
             .toList()
             .forEach { workers.drop(it, "a later life of machine '$machineId' has answered", now) }
@@ -336,7 +339,10 @@
             EndMark(it.id, it.bornUnixMillis, state.endsOfUnreadJobs.acknowledgeable(it, it.seenEnd))
         }
 
-    /** Decides what to do now; [unixMillis] is the time of day, for scheduled jobs only. */
+    /**
+     * Decides what to do now and looks at all that changes with time, whose cost grows with the fleet; [unixMillis] is the
+     * time of day, for scheduled jobs only.
+     */
     fun decide(
         now: Long,
         unixMillis: Long,
@@ -348,6 +354,15 @@
         stuckGuard.check(now)
         paceGuard.check(now)
         gangGuard.check(earlierRuns, now)
+        if (mayStart) {
+            scheduler.schedule(now)
+            scheduler.runCopies(now)
+        }
+        return state.takeActions()
+    }
+
+    /** Decides what follows from the events since the last decision; time alone changes nothing. */
+    fun react(now: Long): List<EngineAction> {
         if (mayStart) scheduler.schedule(now)
         return state.takeActions()
     }
@@ -389,13 +404,7 @@
     private fun mayStillBegin(run: Run) = run.phase == RunPhase.STARTING && run.isUncertain
 
     /** Jobs of each queue without a started run. */
-    fun pendingByQueue(): Map<String, Int> {
-        val counts = HashMap<String, Int>()
-        state.jobs.values.forEach { job ->
-            if (!job.hasStarted && !job.specification.isScheduled) counts.merge(job.queue.name, 1, Int::plus)
-        }
-        return counts
-    }
+    fun pendingByQueue(): Map<String, Int> = state.pending.byQueue()
 
     private companion object {
         const val TICKET_MARGIN_MILLIS = 500L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobOrder.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobOrder.kt
@@ -1,30 +1,59 @@
 package org.verbenagauge.entry.jobs.engine
 
+/**
+ * Place of a job among those that wait; lower ones go first.
+ *
+ * @property group part of the order, compared first.
+ * @property priority priority within the group.
+ * @property urgency compared last, before the id of the job.
+ * @property validUntilMillis last time at which the place holds while neither the job nor what is expected of it changes.
+ */
+internal class Rank(
+    val job: JobEntry,
+    val group: Int,
+    val priority: Int,
+    val urgency: Long,
+    val validUntilMillis: Long = Long.MAX_VALUE,
+) : Comparable<Rank> {
+    override fun compareTo(other: Rank): Int {
+        if (group != other.group) return group.compareTo(other.group)
+        if (priority != other.priority) return priority.compareTo(other.priority)
+        if (urgency != other.urgency) return urgency.compareTo(other.urgency)
+        return job.id.compareTo(other.job.id)
+    }
+}
+
 /** Order in which jobs get room. A pure decision. */
 internal interface JobOrder {
+    /** Returns the place of [job] at [now]. */
+    fun rank(
+        job: JobEntry,
+        now: Long,
+    ): Rank
+
     /** Returns [jobs] with the one that goes first at the front. */
     fun sorted(
         jobs: Collection<JobEntry>,
         now: Long,
-    ): List<JobEntry>
+    ): List<JobEntry> = jobs.map { rank(it, now) }.sorted().map { it.job }
 }
 
 /** By priority and earliest objective, which is best while all can be met; a naive version of [ObjectiveOrder]. */
 internal class EarliestObjectiveOrder(
     private val times: RunTimes,
 ) : JobOrder {
-    override fun sorted(
-        jobs: Collection<JobEntry>,
+    override fun rank(
+        job: JobEntry,
         now: Long,
-    ): List<JobEntry> = jobs.sortedWith(compareBy({ it.queue.priority }, { it.objectiveAtMillis(times) }, { it.id }))
+    ) = Rank(job, group = 0, job.queue.priority, job.objectiveAtMillis(times))
 }
 
 /** First come, first served within a priority; the naive version of [ObjectiveOrder]. */
 internal object ArrivalOrder : JobOrder {
-    override fun sorted(
-        jobs: Collection<JobEntry>,
+    override fun rank(
+        job: JobEntry,
         now: Long,
-    ): List<JobEntry> = jobs.sortedWith(compareBy({ it.queue.priority }, { it.acceptedAtMillis }, { it.id }))
+    ) = Rank(job, group = 0, job.queue.priority, job.acceptedAtMillis)
 }
 
 /**
@@ -44,36 +73,24 @@
         USELESS,
     }
 
-    private class Ranked(
-        val job: JobEntry,
-        val prospect: Prospect,
-        val priority: Int,
-        val urgency: Long,
-    )
-
-    override fun sorted(
-        jobs: Collection<JobEntry>,
-        now: Long,
-    ): List<JobEntry> =
-        jobs
-            .map { ranked(it, now) }
-            .sortedWith(compareBy({ it.prospect }, { it.priority }, { it.urgency }, { it.job.id }))
-            .map { it.job }
-
-    private fun ranked(
+    override fun rank(
         job: JobEntry,
         now: Long,
-    ): Ranked {
+    ): Rank {
         val priority = job.queue.priority
-        if (job.isLasting) return Ranked(job, Prospect.LASTING, priority, job.acceptedAtMillis)
-        if (job.specification.isScheduled) return Ranked(job, Prospect.ON_TIME, priority, job.acceptedAtMillis)
+        if (job.isLasting) return Rank(job, Prospect.LASTING.ordinal, priority, job.acceptedAtMillis)
+        if (job.specification.isScheduled) return Rank(job, Prospect.ON_TIME.ordinal, priority, job.acceptedAtMillis)
         val objective = job.objectiveAtMillis(times)
-        val doneAtMillis = now + job.remainingMillis(times)
+        val remainingMillis = job.remainingMillis(times)
+        val onTimeUntilMillis = objective - remainingMillis
         val uselessAtMillis = job.acceptedAtMillis + (objective - job.acceptedAtMillis) * USEFUL_OBJECTIVES
+        val usefulUntilMillis = uselessAtMillis - remainingMillis
         return when {
-            doneAtMillis <= objective -> Ranked(job, Prospect.ON_TIME, priority, objective)
-            doneAtMillis <= uselessAtMillis -> Ranked(job, Prospect.LATE, 0, job.remainingWork(times))
-            else -> Ranked(job, Prospect.USELESS, priority, objective)
+            now <= onTimeUntilMillis ->
+                Rank(job, Prospect.ON_TIME.ordinal, priority, objective, onTimeUntilMillis)
+            now <= usefulUntilMillis ->
+                Rank(job, Prospect.LATE.ordinal, 0, job.remainingWork(times), usefulUntilMillis)
+            else -> Rank(job, Prospect.USELESS.ordinal, priority, objective)
         }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -9,7 +9,18 @@
 internal class JobRegistry(
     private val state: EngineState,
     private val runs: RunKeeper,
+    private val ready: ReadyJobs,
 ) {
+    private val listener =
+        object : JobListener {
+            override fun tasksChanged(
+                step: StepEntry,
+                readyChange: Int,
+            ) = ready.changed(step, readyChange)
+
+            override fun started(job: JobEntry) = state.pending.remove(job)
+        }
+
     /** Takes in a job; [progress] is what an earlier owner stored of it, null for a new one. */
     fun accept(
         id: String,
@@ -23,6 +34,8 @@
         val queue = state.configuration?.queue(record.queueName) ?: removedQueue(record.queueName)
         val job = JobEntry(id, record, queue, acceptedAtMillis, mayHaveEarlierRuns)
         state.jobs[id] = job
+        state.pending.add(job)
+        job.listener = listener
         state.note(NoteKind.JOB_TAKEN, id, "queue '${queue.name}', inherited $mayHaveEarlierRuns, ${describe(record)}")
         if (progress != null) restore(job, progress, now)
         if (!record.specification.isScheduled) open(job, 0, now)
@@ -183,6 +196,9 @@
         if (job.state.isFinal) return
         job.state = end
         state.jobs.remove(job.id)
+        job.listener = null
+        ready.remove(job)
+        if (!job.hasStarted) state.pending.remove(job)
         state.ended(job)
         state.note(NoteKind.JOB_ENDED, job.id, "$end, queue '${job.queue.name}'")
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -129,10 +129,9 @@
         jobId: String,
         now: Long,
     ) {
-        state.workers.values.forEach { worker ->
-            worker.runs.values
-                .filter { it.taskId.jobId == jobId && it.isOfUnreadJob }
-                .forEach { attach(it, worker, now) }
+        state.runsOfUnreadJobs.take(jobId).forEach { run ->
+            val worker = state.workers[run.workerId]
+            if (worker != null && worker.runs[run.taskId] === run) attach(run, worker, now)
         }
         state.endsOfUnreadJobs.take(jobId).forEach { unread ->
             state.workers[unread.workerId]?.let { ended(it, unread.end, now) }
@@ -157,15 +156,13 @@
 
     /** Stops runs of jobs that were not read although all jobs that may have been started are. */
     fun stopUnwanted(now: Long) {
-        state.workers.values.forEach { worker ->
-            worker.runs.values
-                .filter {
-                    it.isOfUnreadJob &&
-                        (!state.isUnreadJob(it.taskId.jobId) || it.orderedAtMillis < state.workReadAsOfMillis)
-                }.forEach {
-                    it.isOfUnreadJob = false
-                    runs.stop(it, now)
-                }
+        val unwanted =
+            state.runsOfUnreadJobs.takeIf {
+                !state.isUnreadJob(it.taskId.jobId) || it.orderedAtMillis < state.workReadAsOfMillis
+            }
+        unwanted.filter { state.workers[it.workerId]?.runs?.get(it.taskId) === it }.forEach {
+            it.isOfUnreadJob = false
+            runs.stop(it, now)
         }
     }
 
@@ -265,6 +262,7 @@
         update(run, listed, now)
         noteFound(run, task, isWanted)
         run.isOfUnreadJob = state.isUnreadJob(listed.taskId.jobId)
+        if (run.isOfUnreadJob) state.runsOfUnreadJobs.add(run)
         if (!isWanted && !run.isOfUnreadJob) runs.stop(run, now)
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.StepSpecification
+
 /** Chooses the worker of a task. A pure decision. */
 internal interface Placement {
     /** Returns the worker of [candidates] on which [task] starts, or null when it has to wait. */
@@ -22,9 +24,9 @@
     ): WorkerEntry? {
         val fitting = candidates.filter { fits(task, it) }
         if (fitting.isEmpty()) return null
-        val sound = fitting.filter { it.avoidUntilMillis <= now && it.id !in task.failedOn }
-        val choice = sound.ifEmpty { lastResort(task, fitting, candidates, now) }
-        return choice.minWithOrNull(order(task))
+        val preference = preference(task)
+        val sound = fitting.filter { it.avoidUntilMillis <= now && it.id !in task.failedOn }.minWithOrNull(preference)
+        return sound ?: lastResort(task, fitting, candidates, now).minWithOrNull(preference)
     }
 
     // Workers that fail runs are used only when the service has no others. The one on which the task itself failed is
@@ -48,8 +50,7 @@
         worker: WorkerEntry,
     ): Boolean {
         val step = task.step.specification
-        val room = if (step.isFiller) task.amount.copy(cpuMillis = 0) else task.amount
-        if (!room.fitsInto(worker.free)) return false
+        if (!worker.hasRoomFor(step)) return false
         if (step.requiredLabel.isNotEmpty() && step.requiredLabel !in worker.listed.labels) return false
         if (task.id in worker.runs) return false
         return step.maxPerWorker == 0 || membersOn(task, worker) < step.maxPerWorker
@@ -63,15 +64,27 @@
             it.jobId == task.id.jobId && it.occurrence == task.id.occurrence && it.step == task.id.step
         }
 
-    private fun order(task: TaskEntry): Comparator<WorkerEntry> {
+    private fun preference(task: TaskEntry): Comparator<WorkerEntry> {
         val step = task.step.specification
         val racks = if (step.prefersOneRack) racksOf(task.step) else emptySet()
-        return compareBy<WorkerEntry>(
-            { step.dataRack.isNotEmpty() && it.listed.rack != step.dataRack },
-            { racks.isNotEmpty() && it.listed.rack !in racks },
-        ).thenBy { step.isLasting && it.runs.values.none { run -> run.specification.isLasting } }
-            .thenBy { it.free.cpuMillis }
-            .thenBy { it.id }
+        return Comparator { a, b ->
+            val byRack = penalty(a, step, racks).compareTo(penalty(b, step, racks))
+            val byRoom = if (byRack != 0) byRack else a.free.cpuMillis.compareTo(b.free.cpuMillis)
+            if (byRoom != 0) byRoom else a.id.compareTo(b.id)
+        }
+    }
+
+    private fun penalty(
+        worker: WorkerEntry,
+        step: StepSpecification,
+        racks: Set<String>,
+    ): Int {
+        val isFarFromData = step.dataRack.isNotEmpty() && worker.listed.rack != step.dataRack
+        val isFarFromStep = racks.isNotEmpty() && worker.listed.rack !in racks
+        val isFirstLasting = step.isLasting && worker.lastingCount == 0
+        return (if (isFarFromData) FAR_FROM_DATA else 0) +
+            (if (isFarFromStep) FAR_FROM_STEP else 0) +
+            (if (isFirstLasting) FIRST_LASTING else 0)
     }
 
     private fun racksOf(step: StepEntry): Set<String> =
@@ -81,6 +94,11 @@
     var rackOf: (String) -> String? = { null }
 
     private companion object {
+        // Each outweighs those below it.
+        const val FAR_FROM_DATA = 4
+        const val FAR_FROM_STEP = 2
+        const val FIRST_LASTING = 1
+
         // Some tasks end on the other workers by then.
         const val PATIENCE_MILLIS = 2_000L
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/QuotaLedger.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/QuotaLedger.kt
@@ -30,6 +30,25 @@
             isWithin(after.gpus, limit.gpus)
     }
 
+    /** What [team] may start beside what it has running under [limit]; null without a limit. */
+    fun left(
+        team: String,
+        limit: Amount?,
+    ): Amount? {
+        if (limit == null || team.isEmpty()) return null
+        val used = used(team)
+        return Amount(
+            left(used.cpuMillis, limit.cpuMillis),
+            left(used.memoryMegabytes, limit.memoryMegabytes),
+            left(used.gpus, limit.gpus),
+        )
+    }
+
+    private fun left(
+        used: Long,
+        limit: Long,
+    ): Long = if (limit == 0L) Long.MAX_VALUE else maxOf(0, limit - used)
+
     private fun isWithin(
         value: Long,
         limit: Long,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTimes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTimes.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
+import kotlin.math.abs
+
 /**
  * Durations of tasks as learnt from runs that were done, by queue. Estimates of callers can be off by nine tenths, so
  * they only shade what was seen.
@@ -8,10 +10,15 @@
     private class Mean(
         var millis: Double = 0.0,
         var runs: Int = 0,
+        var toldMillis: Double = 0.0,
     )
 
     private val meanByQueue = HashMap<String, Mean>()
 
+    /** Rises whenever an expectation changes. */
+    var version = 0L
+        private set
+
     /** Takes note that a task of [queueName] was done after [millis]. */
     fun learn(
         queueName: String,
@@ -20,6 +27,10 @@
         val mean = meanByQueue.getOrPut(queueName) { Mean() }
         mean.runs++
         mean.millis += (millis - mean.millis) * maxOf(LEARNING_RATE, 1.0 / mean.runs)
+        // What is ordered by expectations is ordered anew with each change of them.
+        if (abs(mean.millis - mean.toldMillis) <= mean.toldMillis * STEADY_SHARE) return
+        mean.toldMillis = mean.millis
+        version++
     }
 
     /** Whether enough runs of [queueName] were seen to the end to judge a worker by the next one. */
@@ -30,13 +41,16 @@
         queueName: String,
         estimateMillis: Long,
     ): Long {
-        val mean = meanByQueue[queueName]?.millis ?: return estimateMillis
+        val mean = meanByQueue[queueName]?.toldMillis ?: return estimateMillis
         return (mean + (estimateMillis - mean) * ESTIMATE_WEIGHT).toLong()
     }
 
     private companion object {
         const val LEARNING_RATE = 0.05
 
+        // Far less than what one task differs from the next.
+        const val STEADY_SHARE = 0.05
+
         // The mean of fewer runs can be off by half: short tasks end first after a change of the owner.
         const val KNOWN_RUNS = 20
         const val ESTIMATE_WEIGHT = 0.2
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -10,7 +10,7 @@
 internal class Scheduler(
     private val state: EngineState,
     private val runs: RunKeeper,
-    private val order: JobOrder,
+    private val ready: ReadyJobs,
     private val placement: Placement,
     private val copies: CopyPolicy,
     private val earlierRuns: EarlierRuns,
@@ -18,80 +18,137 @@
     /** Starts what fits. */
     fun schedule(now: Long) {
         val configuration = state.configuration ?: return
-        val workersByService =
-            state.workers.values
-                .filter { it.takesWork && !it.isFull }
-                .groupBy { it.listed.serviceName }
-        val jobsByService = state.jobs.values.groupBy { it.queue.serviceName }
         state.wantedByService.clear()
-        jobsByService.forEach { (service, jobs) ->
-            val workers = workersByService[service].orEmpty()
-            val open =
-                jobs.filter {
-                    it.hasReadyTask() &&
-                        (!it.mayHaveEarlierRuns || earlierRuns.areKnown(it.queue, now))
-                }
-            val recordedByQueue = HashMap<String, List<WorkerEntry>>()
-            order.sorted(open, now).forEach { job ->
-                val queueName = job.queue.name
-                val recorded =
-                    recordedByQueue.getOrPut(
-                        queueName,
-                    ) { workers.filter { state.roster.ensureRecorded(it, queueName) } }
-                job.open.values.forEach { occurrence ->
-                    occurrence.steps.filter { it.isOpen && !it.isDone }.forEach { step ->
-                        val limit = configuration.teams[job.record.teamName]?.limit
-                        StepPass(step, recorded, limit, now).run()
-                    }
-                }
+        ready.services.forEach { ServicePass(it, configuration, now).run() }
+    }
+
+    /** Runs copies of what is slow or silent, where nothing else waits for the room. */
+    fun runCopies(now: Long) {
+        val configuration = state.configuration ?: return
+        state.jobs.values
+            .filter { it.mayRunCopies && it.queue.serviceName !in state.wantedByService }
+            .forEach { job ->
+                val limit = configuration.teams[job.record.teamName]?.limit
+                val steps =
+                    job.open.values
+                        .flatMap { it.steps }
+                        .filter { it.isOpen && !it.isDone && it.specification.mayRunCopies }
+                if (steps.isEmpty()) return@forEach
+                val recorded = takingWork(job.queue.serviceName).recordedFor(job.queue.name)
+                steps.forEach { StepPass(it, recorded, limit, now, RoomShortage()).runCopies() }
             }
-            // Copies take only what nothing else waits for.
-            if (service !in state.wantedByService) runCopies(jobs, workers, configuration, now)
-        }
     }
 
-    private fun runCopies(
-        jobs: List<JobEntry>,
-        workers: List<WorkerEntry>,
-        configuration: JobsConfiguration,
-        now: Long,
+    private fun takingWork(serviceName: String) = state.workersOf(serviceName).filter { it.takesWork && !it.isFull }
+
+    private fun List<WorkerEntry>.recordedFor(queueName: String) = filter { state.roster.ensureRecorded(it, queueName) }
+
+    /** One pass over the jobs of one service that wait. */
+    private inner class ServicePass(
+        private val serviceName: String,
+        private val configuration: JobsConfiguration,
+        private val now: Long,
     ) {
-        jobs.filter { it.mayRunCopies }.forEach { job ->
-            val limit = configuration.teams[job.record.teamName]?.limit
-            val recorded = workers.filter { state.roster.ensureRecorded(it, job.queue.name) }
-            job.open.values
-                .flatMap { it.steps }
-                .filter { it.isOpen && !it.isDone && it.specification.mayRunCopies }
-                .forEach { StepPass(it, recorded, limit, now).runCopies() }
+        private val workers = takingWork(serviceName)
+        private val recordedByQueue = HashMap<String, List<WorkerEntry>>()
+        private val areRunsKnown = HashMap<String, Boolean>()
+        private val shortageByQueue = HashMap<String, RoomShortage>()
+        private val seenByTeam = HashMap<String, Amount>()
+
+        fun run() {
+            var withoutRoom = 0
+            for (rank in ready.inOrder(serviceName, now)) {
+                val job = rank.job
+                if (job.mayHaveEarlierRuns && !areRunsKnown(job)) continue
+                if (!start(job) && ++withoutRoom >= LOOKAHEAD) break
+            }
+            if (withoutRoom >= LOOKAHEAD) wantRest()
         }
-    }
 
-    private fun JobEntry.hasReadyTask() = tasks().any { it.phase == TaskPhase.READY }
+        private fun areRunsKnown(job: JobEntry) =
+            areRunsKnown.getOrPut(job.queue.name) { earlierRuns.areKnown(job.queue, now) }
+
+        // False when a task has found no room.
+        private fun start(job: JobEntry): Boolean {
+            val queueName = job.queue.name
+            val teamName = job.record.teamName
+            val recorded = recordedByQueue.getOrPut(queueName) { workers.recordedFor(queueName) }
+            val shortage = shortageByQueue.getOrPut(queueName) { RoomShortage() }
+            val limit = configuration.teams[teamName]?.limit
+            var hasRoom = true
+            job.open.values.forEach { occurrence ->
+                occurrence.steps.filter { it.readyCount > 0 }.forEach { step ->
+                    seenByTeam.merge(teamName, step.room(step.readyCount), Amount::plus)
+                    val pass = StepPass(step, recorded, limit, now, shortage)
+                    pass.run()
+                    hasRoom = hasRoom && !pass.isShort
+                }
+            }
+            return hasRoom
+        }
+
+        // Jobs that were not looked at want room as well, as far as the limits of their teams go.
+        private fun wantRest() {
+            ready.waitingByTeam(serviceName).forEach { (teamName, waiting) ->
+                val rest = waiting - (seenByTeam[teamName] ?: Amount())
+                val allowed = state.quota.left(teamName, configuration.teams[teamName]?.limit)
+                val wanted = if (allowed == null) rest else rest.atMost(allowed)
+                if (wanted.cpuMillis > 0) state.wantedByService.merge(serviceName, wanted, Amount::plus)
+            }
+        }
+    }
 
     private inner class StepPass(
         private val step: StepEntry,
         private val workers: List<WorkerEntry>,
         private val limit: Amount?,
         private val now: Long,
+        private val shortage: RoomShortage,
     ) {
         private val specification: StepSpecification = step.specification
         private val job = step.occurrence.job
 
+        /** Whether a task has found no room. */
+        var isShort = false
+            private set
+
         fun run() {
-            val ready = step.tasks.filter { it.phase == TaskPhase.READY }
-            if (ready.isEmpty()) return
             val allowed = if (job.queue.advice == null) workers else advised() ?: return
-            val started =
-                if (specification.isGang) startGang(ready, allowed) else ready.indexOfFirst { !start(it, allowed) }
-            if (started >= 0) want(ready.size - started)
+            if (shortage.covers(specification)) {
+                want(step.readyCount)
+                return
+            }
+            val ready = step.tasks.filter { it.phase == TaskPhase.READY }
+            val missing = if (specification.isGang) startGang(ready, allowed) else startEach(ready, allowed)
+            if (missing == 0) return
+            want(missing)
+            val isForAll = job.queue.advice == null
+            if (isShort && isForAll && !hasRoom(allowed)) shortage.found(specification)
+        }
+
+        private fun hasRoom(candidates: List<WorkerEntry>) = candidates.any { it.hasRoomFor(specification) }
+
+        // A task that avoids the workers on which it failed does not hold up the others. Returns how many have to wait.
+        private fun startEach(
+            ready: List<TaskEntry>,
+            candidates: List<WorkerEntry>,
+        ): Int {
+            var started = 0
+            for (task in ready) {
+                if (start(task, candidates)) {
+                    started++
+                } else if (!hasRoom(candidates)) {
+                    break
+                }
+            }
+            return ready.size - started
         }
 
         // Notes room that is missing; a team at its limit misses none.
         private fun want(tasks: Int) {
             if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return
-            val room = if (specification.isFiller) specification.amount.copy(cpuMillis = 0) else specification.amount
-            val sum = (1..tasks).fold(Amount()) { total, _ -> total + room }
-            state.wantedByService.merge(job.queue.serviceName, sum, Amount::plus)
+            isShort = true
+            state.wantedByService.merge(job.queue.serviceName, step.room(tasks), Amount::plus)
         }
 
         private fun start(
@@ -124,12 +181,12 @@
             send(copy, task)
         }
 
-        // All members or none: placed one by one, and taken back when one finds no room. Returns -1 when they start.
+        // All members or none: placed one by one, and taken back when one finds no room. Returns how many have to wait.
         private fun startGang(
             ready: List<TaskEntry>,
             candidates: List<WorkerEntry>,
         ): Int {
-            if (ready.size < step.tasks.size) return NONE_MISSING
+            if (ready.size < step.tasks.size) return 0
             val runId = state.nextRunId()
             val tentative = ArrayList<Run>()
             val checkpoint = ready.maxOf { it.checkpoint }
@@ -150,11 +207,11 @@
                 }
             if (!fits) {
                 tentative.forEach { runs.gone(it, "never ordered", now) }
-                return 0
+                return ready.size
             }
             ready.forEach { it.checkpoint = checkpoint }
             tentative.forEach { send(it, ready.first { task -> task.id == it.taskId }) }
-            return NONE_MISSING
+            return 0
         }
 
         private fun order(
@@ -219,10 +276,26 @@
     }
 
     private companion object {
-        const val NONE_MISSING = -1
         const val ADVICE_REPEAT_MILLIS = 2_000L
 
         // The advisor's answer takes longer with each worker named.
         const val ADVISED_WORKERS = 30
+
+        // Smaller jobs behind those that find no room fill what is left over; a few hundred fill any pool.
+        const val LOOKAHEAD = 200
     }
 }
+
+/** Amounts for which no worker has room in one pass, during which room only shrinks. */
+private class RoomShortage {
+    private val found = ArrayList<StepSpecification>()
+
+    /** Takes note that no worker has room for a task of [step]. */
+    fun found(step: StepSpecification) {
+        found += step
+    }
+
+    /** Whether a task of [step] takes no less than one that found no room. */
+    fun covers(step: StepSpecification): Boolean =
+        found.any { it.isFiller == step.isFiller && it.amount.fitsInto(step.amount) }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
 import org.verbenagauge.entry.jobs.model.Amount
+import org.verbenagauge.entry.jobs.model.StepSpecification
 import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.ports.ListedWorker
 
@@ -85,25 +86,47 @@
         return slowest > leaseUntilWorkerMillis + limits.clockMarginMillis
     }
 
+    private var takesAllCount = 0
+
+    /** Runs that last. */
+    var lastingCount = 0
+        private set
+
     fun add(run: Run) {
-        runs[run.taskId] = run
+        runs.put(run.taskId, run)?.let { count(it, -1) }
         free -= run.room
+        count(run, 1)
     }
 
     fun remove(run: Run) {
         if (runs[run.taskId] === run) {
             runs.remove(run.taskId)
             free += run.room
+            count(run, -1)
         }
     }
 
+    private fun count(
+        run: Run,
+        change: Int,
+    ) {
+        if (run.takesAll) takesAllCount += change
+        if (run.specification.isLasting) lastingCount += change
+    }
+
+    /** Whether a task of [step] finds room. */
+    fun hasRoomFor(step: StepSpecification): Boolean =
+        (step.isFiller || step.amount.cpuMillis <= free.cpuMillis) &&
+            step.amount.memoryMegabytes <= free.memoryMegabytes &&
+            step.amount.gpus <= free.gpus
+
     fun updateListed(worker: ListedWorker) {
         free += worker.capacity - listed.capacity
         listed = worker
     }
 
     /** Whether something runs here of which it is not known what it takes. */
-    val isFull: Boolean get() = runs.values.any { it.takesAll }
+    val isFull: Boolean get() = takesAllCount > 0
 
     /** Whether no end waits for its acknowledgement. */
     fun isSettledEmpty(): Boolean = acknowledgedEnd >= seenEnd
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerKeeper.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerKeeper.kt
@@ -15,7 +15,7 @@
         worker.runs.values
             .toList()
             .forEach { runs.gone(it, reason, now) }
-        state.workers.remove(worker.id)
+        state.remove(worker)
         state.roster.dropped(worker.id)
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/Amount.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/Amount.kt
@@ -23,6 +23,14 @@
     public operator fun minus(other: Amount): Amount =
         Amount(cpuMillis - other.cpuMillis, memoryMegabytes - other.memoryMegabytes, gpus - other.gpus)
 
+    /** Returns this, and no more of each part than [most]. */
+    public fun atMost(most: Amount): Amount =
+        Amount(
+            minOf(cpuMillis, most.cpuMillis),
+            minOf(memoryMegabytes, most.memoryMegabytes),
+            minOf(gpus, most.gpus),
+        )
+
     /** Whether all of this fits into [room]. */
     public fun fitsInto(room: Amount): Boolean =
         cpuMillis <= room.cpuMillis && memoryMegabytes <= room.memoryMegabytes && gpus <= room.gpus
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -123,13 +123,21 @@
     }
 
     private suspend fun decideLoop(scope: CoroutineScope) {
+        var guardedAtMillis = Long.MIN_VALUE / 2
         while (true) {
             withTimeoutOrNull(TICK_MILLIS) { signal.receive() }
             val now = clock.monotonicMillis()
             engine.mayStart = writer.isLeaseValid()
-            engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
+            if (now - guardedAtMillis >= GUARD_MILLIS) {
+                guardedAtMillis = now
+                engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
+                drivers.values.removeIf { it.isClosed }
+            } else {
+                engine.react(now).forEach { execute(scope, it) }
+            }
             if (engine.hasChanges) writer.wake()
-            drivers.values.removeIf { it.isClosed }
+            // Events of some moments share a decision.
+            delay(BATCH_MILLIS)
         }
     }
 
@@ -209,6 +217,12 @@
     private companion object {
         val leaseInDoubt = OrderOutcome.NotSent("the lease of the owner is in doubt")
         const val TICK_MILLIS = 100L
+
+        // What changes with time alone does so in tenths of a second.
+        const val GUARD_MILLIS = 50L
+
+        // Less than a way to a worker and back.
+        const val BATCH_MILLIS = 3L
         const val ORDER_RETRY_MILLIS = 80L
 
         // A planned stop has seconds; another entry waits for this write.
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineIndexesTest.kt
@@ -0,0 +1,99 @@
+package org.verbenagauge.entry.jobs.engine
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.verbenagauge.entry.jobs.model.Amount
+
+private const val SEEDS = 60
+private const val TROUBLE_MILLIS = 20_000L
+private const val CALM_MILLIS = 20_000L
+
+/** What the engine keeps by indexes, found by looking at everything. */
+private class FullScan(
+    private val engine: JobEngine,
+    private val now: Long,
+) {
+    private val state = engine.state
+    private val waiting = state.jobs.values.filter { job -> job.tasks().any { it.phase == TaskPhase.READY } }
+
+    fun order() = ObjectiveOrder(state.runTimes).sorted(waiting, now).map { it.id }
+
+    fun waitingByTeam(): Map<String, Amount> =
+        waiting
+            .groupBy { it.record.teamName }
+            .mapValues { (_, jobs) ->
+                jobs
+                    .flatMap { it.tasks() }
+                    .filter { it.phase == TaskPhase.READY }
+                    .fold(Amount()) { sum, task -> sum + task.step.room(1) }
+            }
+
+    fun pending(): Map<String, Int> =
+        state.jobs.values
+            .filter { !it.hasStarted && !it.specification.isScheduled }
+            .groupingBy { it.queue.name }
+            .eachCount()
+
+    fun workerIds() =
+        state.workers.values
+            .filter { it.listed.serviceName == SERVICE }
+            .map { it.id }
+            .toSet()
+
+    // Tasks that could start by looking at each of them and at each worker.
+    fun couldStart(): List<String> {
+        val limit = checkNotNull(state.configuration).teams.getValue(TEAM).limit
+        val earlierRuns = EarlierRuns(state)
+        val workers = state.workers.values.filter { it.takesWork && !it.isFull && isRecorded(it) }
+        return waiting
+            .filter { !it.mayHaveEarlierRuns || earlierRuns.areKnown(it.queue, now) }
+            .flatMap { it.tasks() }
+            .filter { it.phase == TaskPhase.READY && !it.step.specification.isGang }
+            .filter { state.quota.allows(TEAM, it.amount, limit) }
+            .filter { PackingPlacement().choose(it, workers, now) != null }
+            .map { it.id.toString() }
+    }
+
+    private fun isRecorded(worker: WorkerEntry) = state.roster.ensureRecorded(worker, QUEUE)
+
+    fun freeByWorker() =
+        state.workers.mapValues { (_, worker) ->
+            worker.runs.values.fold(worker.listed.capacity) { free, run -> free - run.room }
+        }
+
+    fun fullWorkerIds() =
+        state.workers.values
+            .filter { worker -> worker.runs.values.any { it.takesAll } }
+            .map { it.id }
+            .toSet()
+}
+
+private fun compare(
+    engine: JobEngine,
+    now: Long,
+) {
+    val scan = FullScan(engine, now)
+    val state = engine.state
+    engine.ready.inOrder(SERVICE, now).map { it.job.id } shouldBe scan.order()
+    engine.ready.waitingByTeam(SERVICE) shouldBe scan.waitingByTeam()
+    engine.pendingByQueue() shouldBe scan.pending()
+    state.workersOf(SERVICE).map { it.id }.toSet() shouldBe scan.workerIds()
+    state.workers.mapValues { it.value.free } shouldBe scan.freeByWorker()
+    state.workers.values
+        .filter { it.isFull }
+        .map { it.id }
+        .toSet() shouldBe scan.fullWorkerIds()
+    if (engine.mayStart) scan.couldStart() shouldBe emptyList()
+}
+
+class EngineIndexesTest :
+    FunSpec({
+        test(
+            "after each decision the indexes tell what a look at everything tells, and nothing that fits is left waiting",
+        ) {
+            (1..SEEDS).forEach { seed ->
+                withClue("seed $seed") { VirtualPool(seed, ::compare).play(TROUBLE_MILLIS, CALM_MILLIS) }
+            }
+        }
+    })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -14,13 +14,16 @@
 private const val WORKER_CPU_MILLIS = 4_000L
 private const val TEAM_CPU_MILLIS = 12_000L
 private const val TAKEOVER_GAP_MILLIS = 2_800L
+private const val WHOLE_DECISION_MILLIS = 50L
 
 /**
  * Plays one seed of the engine against virtual workers in virtual time: answers are lost, orders come late and out of
- * order, workers crash and fall silent, owners change with a stale store of ends.
+ * order, workers crash and fall silent, owners change with a stale store of ends. [afterDecision] is told the engine after
+ * each of its decisions.
  */
 internal class VirtualPool(
     seed: Int,
+    private val afterDecision: (JobEngine, Long) -> Unit = { _, _ -> },
 ) {
     private class Event(
         val atMillis: Long,
@@ -47,6 +50,7 @@
     private val storedRoster = LinkedHashMap<String, RosterRecord>()
     val states = HashMap<String, JobState>()
 
+    private var decidedAtMillis = Long.MIN_VALUE / 2
     private var epoch = 0L
     private var engine: JobEngine? = null
 
@@ -186,7 +190,12 @@
 
     private fun tick(owner: JobEngine) {
         if (owner !== engine) return
-        owner.decide(now, 0).forEach { execute(owner, it) }
+        // As the loop of an owner: between two whole decisions only events are followed.
+        val isWhole = now - decidedAtMillis >= WHOLE_DECISION_MILLIS
+        if (isWhole) decidedAtMillis = now
+        val actions = if (isWhole) owner.decide(now, 0) else owner.react(now)
+        afterDecision(owner, now)
+        actions.forEach { execute(owner, it) }
         at(random.nextLong(5, 60)) { tick(owner) }
     }
 
