Let weak machines leave the duty of the owner to strong ones

What callers saw: on sites with machines of 0.36 and 1.5 cores most owners ran on one of 0.36, where 0.57 of a core was asked for. Cause: the order in which entries take a vacant duty came from a hash of their ids only. Change: each entry tells the processor of its machine in the directory; one that reaches a peer that is much stronger waits eight ranks longer. Settings limits.processorShare and limits.processorSpeed, checked at the start.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -9,6 +9,7 @@
 import org.verbenagauge.entry.jobs.front.JobFront
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.owner.DutyRank
 import org.verbenagauge.entry.jobs.owner.OwnerNews
 import org.verbenagauge.entry.jobs.owner.OwnerPorts
 import org.verbenagauge.entry.jobs.owner.OwnerSettings
@@ -44,8 +45,11 @@
     private val clock: Clock,
     private val log: EventLog,
     private val metrics: JobMetrics,
+    cores: Double = 0.0,
     limits: () -> EngineLimits,
 ) {
+    private val dutyRank = DutyRank(entryId, cores)
+    private var reachedCores: () -> Collection<Double> = { emptyList() }
     private val catalogue = StateCatalogue(ports.store, clock)
     private val ownership =
         Ownership(
@@ -56,7 +60,7 @@
             settings = OwnerSettings(),
             limits = limits,
             log = log,
-            rank = { (entryId.hashCode() and Int.MAX_VALUE) % RANKS },
+            rank = { dutyRank.rank(reachedCores()) },
         )
 
     /** Calls of callers. */
@@ -89,11 +93,16 @@
         log.write(Event.CONFIGURATION_IN_FORCE, "version ${newer.version} after $old, ${newer.queues.size} queues")
     }
 
-    /** Uses [network] for direct news between entries; messages are taken in by [scope]. */
+    /**
+     * Uses [network] for direct news between entries; messages are taken in by [scope]. [coresOf] tells the processor of an
+     * entry's machine in cores, or null.
+     */
     internal fun connect(
         network: PeerNetwork,
         scope: CoroutineScope,
+        coresOf: (entryId: String) -> Double?,
     ) {
+        reachedCores = { network.reachable().mapNotNull { coresOf(it.entryId) } }
         val news = OwnerNews(network, clock) { it.forEach(catalogue::learn) }
         network.subscribe { from, message -> scope.launch { news.received(from, message) } }
         ownership.news = news
@@ -114,8 +123,6 @@
     }
 
     private companion object {
-        // Entries that wait for the duty rarely share a rank.
-        const val RANKS = 8
         const val MILLIS_PER_SECOND = 1_000.0
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/EntryDirectory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/EntryDirectory.kt
@@ -24,12 +24,14 @@
  * @property host IP number.
  * @property port TCP port.
  * @property refreshedUnixMillis when the entry wrote this last.
+ * @property cores processor of its machine, in cores; 0 when not told.
  */
 @Serializable
 public data class EntryRecord(
     val host: String,
     val port: Int,
     val refreshedUnixMillis: Long,
+    val cores: Double = 0.0,
 )
 
 /** Entries of the deployment and the secret that they share, kept in the platform's store. */
@@ -37,6 +39,7 @@
     private val store: RowStore,
     private val clock: Clock,
     private val self: PeerAddress,
+    private val ownCores: Double,
 ) {
     private val follower = TableFollower(store, listOf(place), FEED_WAIT_MILLIS, pauseMillis = 0)
     private val addressByEntry = HashMap<String, EntryRecord>()
@@ -47,6 +50,9 @@
     var peers: List<PeerAddress> = emptyList()
         private set
 
+    /** Processor of the machine of [entryId] in cores, as last read; null when not told. */
+    fun coresOf(entryId: String): Double? = addressByEntry[entryId]?.cores?.takeIf { it > 0 }
+
     /** Waits until the shared secret is known. */
     suspend fun secret(): ByteArray = knownSecret.await()
 
@@ -62,7 +68,7 @@
         }
 
     private suspend fun write(): Boolean {
-        val record = EntryRecord(self.host, self.port, clock.wallMillis())
+        val record = EntryRecord(self.host, self.port, clock.wallMillis(), ownCores)
         val key = "$ENTRY_PREFIX${self.entryId}"
         val change = RowChange(place, key, RecordCodec.encode(EntryRecord.serializer(), record))
         val outcome = store.transact(emptyList(), listOf(change) + outdated(), TIMEOUT_MILLIS)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -64,7 +64,9 @@
     private val store = PlatformStore(link)
     private val peerAddress = parseHostPort(settings.listeners.peers)
     private val directory =
-        peerAddress?.let { EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id)) }
+        peerAddress?.let {
+            EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id), settings.limits.cores)
+        }
     private val jobs =
         JobRuntime(
             entryId = settings.entry.id,
@@ -79,6 +81,7 @@
             clock = clock,
             log = log,
             metrics = metrics,
+            cores = settings.limits.cores,
             limits = { engineLimits(limits) },
         )
     private val documents = OperatorDocuments(store, log, jobs::configure, ::wave)
@@ -149,7 +152,7 @@
         val relay = StoreRelay(network, scope, link::direct)
         relay.start()
         link.relay = relay
-        jobs.connect(network, scope)
+        jobs.connect(network, scope, directory::coresOf)
         network.run()
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
@@ -72,12 +72,19 @@
  *
  * @property leaseMaxMillis longest lease that workers grant.
  * @property stopMillis time from the signal to stop until the process is killed.
+ * @property processorShare share of a processor core that the process gets, as a number in text.
+ * @property processorSpeed speed of that core beside the usual one, as a number in text.
  */
 @Serializable
 public data class DeploymentLimits(
     val leaseMaxMillis: Long = 6_000,
     val stopMillis: Long = 6_000,
-)
+    val processorShare: String = "1",
+    val processorSpeed: String = "1",
+) {
+    /** Processor that the process gets, in usual cores. */
+    val cores: Double get() = (processorShare.toDoubleOrNull() ?: 1.0) * (processorSpeed.toDoubleOrNull() ?: 1.0)
+}
 
 /** Outcome of reading settings of an entry on the platform. */
 public sealed interface PlatformSettingsOutcome {
@@ -132,8 +139,19 @@
         optionalAddressProblem("platform.advisor", settings.platform.advisor),
         "limits.leaseMaxMillis: write a number of at least 1".takeIf { settings.limits.leaseMaxMillis < 1 },
         "limits.stopMillis: write a number of at least 1".takeIf { settings.limits.stopMillis < 1 },
+        numberProblem("limits.processorShare", settings.limits.processorShare),
+        numberProblem("limits.processorSpeed", settings.limits.processorSpeed),
     ).firstOrNull()
 
+private fun numberProblem(
+    field: String,
+    text: String,
+): String? {
+    // A template leaves out what the platform does not tell.
+    val isUsable = text.isEmpty() || text.toDoubleOrNull()?.let { it.isFinite() && it > 0 } ?: false
+    return if (isUsable) null else "$field: write a number above 0 as text, such as \"0.75\""
+}
+
 private fun addressProblem(
     field: String,
     text: String,
--- /dev/null
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/DutyRankTest.kt
@@ -0,0 +1,32 @@
+package org.verbenagauge.entry.jobs.owner
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+
+private data class RankCase(
+    val name: String,
+    val ownCores: Double,
+    val othersCores: List<Double>,
+    val isLater: Boolean,
+)
+
+class DutyRankTest :
+    FunSpec({
+        context("an entry lets all strong ones go first") {
+            withData(
+                nameFn = { it.name },
+                RankCase("alone", 0.36, emptyList(), isLater = false),
+                RankCase("among machines of one kind", 0.36, listOf(0.36, 0.36), isLater = false),
+                RankCase("beside a strong one that is reached", 0.36, listOf(0.36, 1.5), isLater = true),
+                RankCase("as the strong one itself", 1.5, listOf(0.36, 0.36), isLater = false),
+                RankCase("as one of several strong ones", 1.5, listOf(1.5, 0.36), isLater = false),
+                RankCase("when its own processor is not known", 0.0, listOf(1.5), isLater = false),
+            ) { case ->
+                val rank = DutyRank("entry-7", case.ownCores).rank(case.othersCores)
+                val alone = DutyRank("entry-7", case.ownCores).rank(emptyList())
+                (alone in 0..7) shouldBe true
+                (rank >= 8) shouldBe case.isLater
+            }
+        }
+    })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
@@ -25,6 +25,20 @@
                 .settings.limits.leaseMaxMillis shouldBe 6_000
         }
 
+        context("the processor of a machine is its share times its speed") {
+            withData(
+                nameFn = { (text, cores) -> "$cores from ${text.lines()}" },
+                "" to 1.0,
+                "[limits]\nprocessorShare = \"0.75\"\nprocessorSpeed = \"2\"\n" to 1.5,
+                "[limits]\nprocessorShare = \"\"\nprocessorSpeed = \"\"\n" to 1.0,
+            ) { (text, cores) ->
+                val outcome = parsePlatformSettings(GOOD + text, "f.toml")
+                outcome
+                    .shouldBeInstanceOf<PlatformSettingsOutcome.Valid>()
+                    .settings.limits.cores shouldBe cores
+            }
+        }
+
         context("a mistake gives one message with file, field and mend") {
             withData(
                 nameFn = { it.name },
@@ -32,6 +46,16 @@
                 SettingsCase("no address", GOOD.replace("10.0.0.2:90", "store"), "f.toml: platform.store: write an"),
                 SettingsCase("missing table", GOOD.replace("[platform]\nstore = \"10.0.0.2:90\"\n", ""), "f.toml: "),
                 SettingsCase("blank id", GOOD.replace("\"e\"", "\"\""), "f.toml: entry.id: write a name"),
+                SettingsCase(
+                    "no number",
+                    GOOD + "[limits]\nprocessorShare = \"half\"\n",
+                    "f.toml: limits.processorShare: write a number",
+                ),
+                SettingsCase(
+                    "no processor",
+                    GOOD + "[limits]\nprocessorSpeed = \"0\"\n",
+                    "f.toml: limits.processorSpeed: write a number",
+                ),
                 SettingsCase("no TOML", "[[[", "f.toml: is not valid TOML"),
             ) { case ->
                 val outcome = parsePlatformSettings(case.text, "f.toml")
