Rest after a decision that took long, and let the soak hand in more jobs

What callers saw: on a machine that is short of processor decisions followed one another, and answers of workers had to wait.

--- a/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/engine/EnginePlay.kt
+++ b/verbenagauge-bench/src/main/kotlin/org/verbenagauge/bench/engine/EnginePlay.kt
@@ -32,7 +32,7 @@
  * @property starts runs that were started.
  * @property engineNanos processor time of all calls of the engine.
  * @property allocatedBytes bytes that these calls allocated.
- * @property decisionNanos time of each decision.
+ * @property decisionNanos processor time of each decision.
  */
 internal class EnginePlayResult(
     val starts: Long,
@@ -43,7 +43,7 @@
 
 /**
  * Plays the engine in virtual time against workers that do all they are told: so many jobs wait at any time that the
- * workers are full, and each event is followed by a decision, as in the owner's loop.
+ * workers are full. Decides as the owner's loop does: soon after each event, with those of some moments together.
  *
  * @param workerCount workers, spread over the services.
  * @param waitingCount jobs that wait at any time.
@@ -81,6 +81,9 @@
     private var engineNanos = 0L
     private var allocatedBytes = 0L
     private var isMeasured = false
+    private var isAwake = false
+    private var decidedAtMillis = 0L
+    private var wholeAtMillis = Long.MIN_VALUE / 2
 
     /** Plays [warmUpMillis] without and [measuredMillis] with measurement, in virtual time. */
     fun play(
@@ -123,7 +126,7 @@
                 measured { engine.accept(id, record, now) }
             }
         }
-        decide()
+        wake()
         at(REFILL_MILLIS, ::refill)
     }
 
@@ -135,10 +138,22 @@
         return JobSpecification("text", steps)
     }
 
+    private fun wake() {
+        if (isAwake) return
+        isAwake = true
+        at(maxOf(0, decidedAtMillis + BATCH_MILLIS - now)) {
+            isAwake = false
+            decide()
+        }
+    }
+
     private fun decide() {
-        val startedNanos = System.nanoTime()
-        val actions = measured { engine.decide(now, now) }
-        if (isMeasured) decisions.recordValue(System.nanoTime() - startedNanos)
+        val startedNanos = threads.currentThreadCpuTime
+        val isWhole = now - wholeAtMillis >= WHOLE_MILLIS
+        if (isWhole) wholeAtMillis = now
+        decidedAtMillis = now
+        val actions = measured { if (isWhole) engine.decide(now, now) else engine.react(now) }
+        if (isMeasured) decisions.recordValue(threads.currentThreadCpuTime - startedNanos)
         actions.forEach(::carryOut)
         // What is stored may be acknowledged.
         engine.state.takeChanges(Int.MAX_VALUE)
@@ -160,7 +175,7 @@
         if (isMeasured) starts++
         at(random.nextLong(RUN_MILLIS / 2, 2 * RUN_MILLIS)) { end(worker, order.taskId, order.runId) }
         measured { engine.started(worker.listed.address.workerId, order, OrderOutcome.Done(now), now, now) }
-        decide()
+        wake()
     }
 
     private fun end(
@@ -185,7 +200,7 @@
                 worker.ended.removeIf { it.number <= renewal.acknowledged }
                 val listing = WorkerListing(BORN, now, worker.running.values.toList(), worker.ended.toList())
                 measured { engine.listed(workerId, ListingOutcome.Listed(listing), sentAtMillis, now) }
-                decide()
+                wake()
                 if (worker.running.isNotEmpty()) at(RELIST_MILLIS) { list(worker) }
             }
         }
@@ -238,6 +253,10 @@
         const val LISTING_MILLIS = 10L
         const val RELIST_MILLIS = 1_000L
         const val RUN_MILLIS = 640L
+
+        // Of the owner's loop.
+        const val BATCH_MILLIS = 3L
+        const val WHOLE_MILLIS = 50L
         const val REFILL_MILLIS = 20L
         const val REFILL_JOBS = 5
         const val MOST_NANOS = 60_000_000_000L
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/FaultSchedule.kt
@@ -35,6 +35,7 @@
             "restarts" to ::restarts,
             "lost-answers" to ::lostAnswers,
             "mixed" to ::mixed,
+            "calm" to ::calm,
         )
 
     /** Runs until the time of the soak is over and all faults are taken back. */
@@ -53,6 +54,8 @@
         site.entries.forEach { it.start() }
     }
 
+    private fun calm() = pass(CALM_MILLIS)
+
     private fun pass(millis: Long) {
         Thread.sleep(millis)
     }
@@ -399,6 +402,7 @@
     private companion object {
         const val SEED_FACTOR = 31L
         const val THREADS = 8
+        const val CALM_MILLIS = 1_000L
         const val FIRST_MILLIS = 3_000L
         const val EXPIRY_MILLIS = 7_000L
 
--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCommand.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/soak/SoakCommand.kt
@@ -12,6 +12,7 @@
     private val seconds by option(ArgType.Int, "seconds", description = "Time of faults").default(60)
     private val entries by option(ArgType.Int, "entries", description = "Number of entry processes").default(3)
     private val workers by option(ArgType.Int, "workers", description = "Number of workers").default(8)
+    private val jobs by option(ArgType.Int, "jobs", description = "Jobs that are handed in each second").default(12)
     private val plays by option(
         ArgType.String,
         "plays",
@@ -22,7 +23,7 @@
 
     override fun execute() {
         val names = plays.split(',').filter { it.isNotEmpty() }
-        val standard = SoakSettings(seed.toLong(), seconds, entries, workers, plays = names)
+        val standard = SoakSettings(seed.toLong(), seconds, entries, workers, jobs, names)
         val outcome = soak(standard.copy(classPath = classPath ?: standard.classPath))
         outcome.violations.zip(outcome.traces).forEach { (violation, trace) ->
             println("${violation.rule} ${violation.taskId} at ${violation.atMillis} ms: ${violation.detail}")
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -108,7 +108,16 @@
     private fun poolMover(
         waves: WavePorts,
         board: MachineBoard,
-    ) = PoolMover(waves.machines, board, engine, clock, log, mayOrder = writer::isLeaseValid, onFenced = ::fenced)
+    ) = PoolMover(
+        gateway = waves.machines,
+        board = board,
+        engine = engine,
+        clock = clock,
+        log = log,
+        mayOrder = writer::isLeaseValid,
+        onFenced = ::fenced,
+        ordersPerSecond = waves.ordersPerSecond,
+    )
 
     private fun fenced(subject: String) {
         ended.complete("$subject has seen a higher epoch than ${engine.state.epoch}")
@@ -136,8 +145,9 @@
                 engine.react(now).forEach { execute(scope, it) }
             }
             if (engine.hasChanges) writer.wake()
-            // Events of some moments share a decision.
-            delay(BATCH_MILLIS)
+            // Events of some moments share a decision; of more on a machine that is short of processor.
+            val tookMillis = clock.monotonicMillis() - now
+            delay((tookMillis * REST_RATIO).coerceIn(BATCH_MILLIS, MOST_BATCH_MILLIS))
         }
     }
 
@@ -223,6 +233,10 @@
 
         // Less than a way to a worker and back.
         const val BATCH_MILLIS = 3L
+        const val MOST_BATCH_MILLIS = 50L
+
+        // Leaves most of the processor to answers and orders.
+        const val REST_RATIO = 4L
         const val ORDER_RETRY_MILLIS = 80L
 
         // A planned stop has seconds; another entry waits for this write.
