Give tasks that must not share a worker as many machines as there are of them

What callers saw: on the large site 14 of 17 levy-calc jobs and one stock-sync never had all tasks at work, although their pool had room by its sums. Cause: a pool was sized by the room that waiting tasks take; 24 small tasks that must lie apart fit into four machines by the sums and need 24. Five machines at rest are enough for the five tasks of the small sites. And no more than six moves were ordered at once, 60 a second, although this platform takes 225. Change: what waits tells how many workers it needs (MissingRoom), the pool gets them; moves go up to nine tenths of what the platform takes, told by limits.machineOrdersPerSecond. What cannot fit by the largest free room is not tried on each worker again.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -1,6 +1,5 @@
 package org.verbenagauge.entry.jobs.engine
 
-import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.ports.ListedWorker
 
@@ -28,7 +27,7 @@
     val runTimes = RunTimes()
 
     /** What waits for room on workers of each service and for nothing else, as of the last decision. */
-    val wantedByService = HashMap<String, Amount>()
+    val wantedByService = HashMap<String, MissingRoom>()
 
     /** Workers whose machine was taken down, with the start of that life, until the platform's list drops them. */
     val endedWorkers = HashMap<String, Long?>()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -39,6 +39,13 @@
             }
     }
 
+    private fun want(
+        serviceName: String,
+        missing: MissingRoom,
+    ) {
+        state.wantedByService.merge(serviceName, missing, MissingRoom::plus)
+    }
+
     private fun takingWork(serviceName: String) = state.workersOf(serviceName).filter { it.takesWork && !it.isFull }
 
     private fun List<WorkerEntry>.recordedFor(queueName: String) = filter { state.roster.ensureRecorded(it, queueName) }
@@ -73,7 +80,7 @@
             val queueName = job.queue.name
             val teamName = job.record.teamName
             val recorded = recordedByQueue.getOrPut(queueName) { workers.recordedFor(queueName) }
-            val shortage = shortageByQueue.getOrPut(queueName) { RoomShortage() }
+            val shortage = shortageByQueue.getOrPut(queueName) { RoomShortage(recorded) }
             val limit = configuration.teams[teamName]?.limit
             var hasRoom = true
             job.open.values.forEach { occurrence ->
@@ -93,7 +100,7 @@
                 val rest = waiting - (seenByTeam[teamName] ?: Amount())
                 val allowed = state.quota.left(teamName, configuration.teams[teamName]?.limit)
                 val wanted = if (allowed == null) rest else rest.atMost(allowed)
-                if (wanted.cpuMillis > 0) state.wantedByService.merge(serviceName, wanted, Amount::plus)
+                if (wanted.cpuMillis > 0) want(serviceName, MissingRoom(wanted, workers = 0))
             }
         }
     }
@@ -148,7 +155,13 @@
         private fun want(tasks: Int) {
             if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return
             isShort = true
-            state.wantedByService.merge(job.queue.serviceName, step.room(tasks), Amount::plus)
+            want(job.queue.serviceName, MissingRoom(step.room(tasks), workersApart()))
+        }
+
+        // Tasks that must not share a worker need as many workers as there are of them, however little each takes.
+        private fun workersApart(): Int {
+            val perWorker = specification.maxPerWorker
+            return if (perWorker == 0) 0 else (step.tasks.size + perWorker - 1) / perWorker
         }
 
         private fun start(
@@ -281,21 +294,37 @@
         // The advisor's answer takes longer with each worker named.
         const val ADVISED_WORKERS = 30
 
-        // Smaller jobs behind those that find no room fill what is left over; a few hundred fill any pool.
-        const val LOOKAHEAD = 200
+        // Smaller jobs behind those that find no room fill what is left over; a hundred fill any pool.
+        const val LOOKAHEAD = 100
     }
 }
 
-/** Amounts for which no worker has room in one pass, during which room only shrinks. */
-private class RoomShortage {
+/** What is known not to fit on any of [workers] in one pass, during which room only shrinks. */
+private class RoomShortage(
+    private val workers: List<WorkerEntry> = emptyList(),
+) {
     private val found = ArrayList<StepSpecification>()
 
+    // At most this much of each part is free on any worker, though perhaps not on the same one.
+    private var mostFree = mostFree()
+
+    private fun mostFree() =
+        Amount(
+            cpuMillis = workers.maxOfOrNull { it.free.cpuMillis } ?: 0,
+            memoryMegabytes = workers.maxOfOrNull { it.free.memoryMegabytes } ?: 0,
+            gpus = workers.maxOfOrNull { it.free.gpus } ?: 0,
+        )
+
     /** Takes note that no worker has room for a task of [step]. */
     fun found(step: StepSpecification) {
         found += step
+        mostFree = mostFree()
     }
 
-    /** Whether a task of [step] takes no less than one that found no room. */
-    fun covers(step: StepSpecification): Boolean =
-        found.any { it.isFiller == step.isFiller && it.amount.fitsInto(step.amount) }
+    /** Whether no worker has room for a task of [step], as far as that is known. */
+    fun covers(step: StepSpecification): Boolean {
+        if (!step.isFiller && step.amount.cpuMillis > mostFree.cpuMillis) return true
+        if (step.amount.memoryMegabytes > mostFree.memoryMegabytes) return true
+        return found.any { it.isFiller == step.isFiller && it.amount.fitsInto(step.amount) }
+    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.fleet
 
 import org.verbenagauge.entry.jobs.engine.EngineState
+import org.verbenagauge.entry.jobs.engine.MissingRoom
 import org.verbenagauge.entry.jobs.engine.WorkerEntry
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.ports.Machine
@@ -19,10 +20,13 @@
 /**
  * Brings machines to pools that need more, from standby first and then from idle pools, and sends idle ones to standby.
  * Only machines without any run move. A pure decision.
+ *
+ * @param mostMoves moves that are ordered at once.
  */
 internal class MovePlanner(
     private val state: EngineState,
     private val sizer: PoolSizer,
+    private val mostMoves: Int = STANDARD_MOVES,
 ) {
     /**
      * Decides on the [machines] of the platform; [underway] are moves that were ordered and cannot be seen yet, and
@@ -60,11 +64,11 @@
                 moves += PoolMove(machine, room.poolName)
             }
         }
-        val rest = standby.firstOrNull() ?: return moves.take(MOST_MOVES)
+        val rest = standby.firstOrNull() ?: return moves.take(mostMoves)
         supply
             .filter { it.poolName !in standby && it.kind to rest !in barred }
             .forEach { moves += PoolMove(it, rest) }
-        return moves.take(MOST_MOVES)
+        return moves.take(mostMoves)
     }
 
     private class PoolRoom(
@@ -79,10 +83,11 @@
         underway: Collection<PoolMove>,
         now: Long,
     ): PoolRoom {
-        val workers = state.workers.values.filter { it.listed.serviceName == pool }
+        val workers = state.workersOf(pool)
         val capacity = workers.firstOrNull()?.listed?.capacity ?: fallbackCapacity()
         val used = workers.fold(Amount()) { sum, worker -> sum + (worker.listed.capacity - worker.free) }
-        val demand = PoolDemand(pool, used, state.wantedByService[pool] ?: Amount(), capacity)
+        val missing = state.wantedByService[pool] ?: MissingRoom()
+        val demand = PoolDemand(pool, used, missing.amount, capacity, missing.workers)
         val wanted = sizer.size(demand, now)
         val serving = workers.count { isAwaited(it, now) || it.takesWork && it.avoidUntilMillis <= now }
         val returning = machines.count { it.poolName == pool && !it.isUp && !it.isLost }
@@ -122,7 +127,6 @@
         // Longer than two calls to a worker take.
         const val SETTLING_MILLIS = 2_000L
 
-        // Orders of one tick; the platform takes some dozens a second from all.
-        const val MOST_MOVES = 6
+        const val STANDARD_MOVES = 6
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -11,7 +11,11 @@
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
-/** Carries out moves of machines between pools, in one owner's term. */
+/**
+ * Carries out moves of machines between pools, in one owner's term.
+ *
+ * @param ordersPerSecond orders that the platform takes from all entries together.
+ */
 internal class PoolMover(
     private val gateway: MachineGateway,
     private val board: MachineBoard,
@@ -20,6 +24,7 @@
     private val log: EventLog,
     private val mayOrder: () -> Boolean,
     private val onFenced: (String) -> Unit,
+    ordersPerSecond: Double,
 ) {
     private class Underway(
         val move: PoolMove,
@@ -27,7 +32,7 @@
         var isDone: Boolean = false,
     )
 
-    private val planner = MovePlanner(engine.state, TurnSizer())
+    private val planner = MovePlanner(engine.state, TurnSizer(), mostMoves(ordersPerSecond))
     private val underway = HashMap<String, Underway>()
     private val barred = HashSet<Pair<String, String>>()
 
@@ -110,6 +115,13 @@
     private companion object {
         const val RESERVATION = "move"
         const val TICK_MILLIS = 100L
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        // The rest is for waves and for orders that are repeated.
+        const val SHARE_OF_ORDERS = 0.9
+
+        fun mostMoves(ordersPerSecond: Double): Int =
+            maxOf(1, (ordersPerSecond * TICK_MILLIS / MILLIS_PER_SECOND * SHARE_OF_ORDERS).toInt())
 
         // A move takes a second or two; after this the list alone counts.
         const val ARRIVAL_MILLIS = 5_000L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolSizer.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolSizer.kt
@@ -9,12 +9,14 @@
  * @property used what runs or may run.
  * @property wanted what waits for room and for nothing else.
  * @property machineCapacity what one machine of the pool has.
+ * @property leastMachines machines that waiting tasks need which must not share one.
  */
 internal data class PoolDemand(
     val poolName: String,
     val used: Amount,
     val wanted: Amount,
     val machineCapacity: Amount,
+    val leastMachines: Int = 0,
 )
 
 /** Says how many machines a pool needs. A pure decision. */
@@ -62,6 +64,7 @@
     private fun machinesFor(demand: PoolDemand): Double {
         val need = demand.used + demand.wanted
         return maxOf(
+            demand.leastMachines.toDouble(),
             share(need.cpuMillis, demand.machineCapacity.cpuMillis),
             share(need.memoryMegabytes, demand.machineCapacity.memoryMegabytes),
             share(need.gpus, demand.machineCapacity.gpus),
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -35,15 +35,20 @@
  * @property machines machines of the platform.
  * @property store rows.
  * @property reports where states are shown.
+ * @property ordersPerSecond orders to machines that the platform takes from all entries together.
  * @property waves waves that the operator asks for, as known now.
  */
 internal class WavePorts(
     val machines: MachineGateway,
     val store: RowStore,
     val reports: WaveReports,
+    val ordersPerSecond: Double = STANDARD_ORDERS_PER_SECOND,
     val waves: () -> Collection<MaintenanceWave>,
 )
 
+/** Orders a second that every platform takes. */
+internal const val STANDARD_ORDERS_PER_SECOND = 64.0
+
 /** Drives the waves of one owner's term. */
 internal class WaveRunner(
     private val ports: WavePorts,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -170,6 +170,7 @@
             store = store,
             reports = platformWaveReports,
             waves = waves::values,
+            ordersPerSecond = settings.limits.machineOrders,
         )
 
     private fun io.ktor.server.application.Application.readiness() {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
@@ -4,6 +4,7 @@
 import com.akuleshov7.ktoml.TomlInputConfig
 import com.akuleshov7.ktoml.parsers.TomlParser
 import kotlinx.serialization.Serializable
+import org.verbenagauge.entry.jobs.fleet.STANDARD_ORDERS_PER_SECOND
 import org.verbenagauge.entry.settings.shapeProblem
 import java.io.IOException
 import java.nio.file.Files
@@ -74,6 +75,7 @@
  * @property stopMillis time from the signal to stop until the process is killed.
  * @property processorShare share of a processor core that the process gets, as a number in text.
  * @property processorSpeed speed of that core beside the usual one, as a number in text.
+ * @property machineOrdersPerSecond orders to machines that the platform takes from all entries, as a number in text.
  */
 @Serializable
 public data class DeploymentLimits(
@@ -81,7 +83,11 @@
     val stopMillis: Long = 6_000,
     val processorShare: String = "1",
     val processorSpeed: String = "1",
+    val machineOrdersPerSecond: String = "",
 ) {
+    /** Orders to machines that the platform takes from all entries in a second. */
+    val machineOrders: Double get() = machineOrdersPerSecond.toDoubleOrNull() ?: STANDARD_ORDERS_PER_SECOND
+
     /** Processor that the process gets, in usual cores. */
     val cores: Double get() = (processorShare.toDoubleOrNull() ?: 1.0) * (processorSpeed.toDoubleOrNull() ?: 1.0)
 }
@@ -141,6 +147,7 @@
         "limits.stopMillis: write a number of at least 1".takeIf { settings.limits.stopMillis < 1 },
         numberProblem("limits.processorShare", settings.limits.processorShare),
         numberProblem("limits.processorSpeed", settings.limits.processorSpeed),
+        numberProblem("limits.machineOrdersPerSecond", settings.limits.machineOrdersPerSecond),
     ).firstOrNull()
 
 private fun numberProblem(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/LostMachineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/LostMachineTest.kt
@@ -64,7 +64,8 @@
                     val machine = Machine("m1", POOL, !case.isLost, false, case.isLost, "a", "w1")
                     val gateway = ListOfOne(machine)
                     val board = MachineBoard(gateway, clock)
-                    val mover = PoolMover(gateway, board, engine, clock, EventLog("a"), { true }, { })
+                    val mover =
+                        PoolMover(gateway, board, engine, clock, EventLog("a"), { true }, { }, ordersPerSecond = 64.0)
                     val running = backgroundScope.launch { mover.run() }
                     engine.listed("w1", case.answer, sentAtMillis = 0, now = 50)
                     advanceTimeBy(1_000)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlannerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlannerTest.kt
@@ -5,11 +5,16 @@
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.engine.JobEngine
 import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.starts
+import org.verbenagauge.entry.jobs.engine.step
+import org.verbenagauge.entry.jobs.engine.storeRoster
 import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.model.JobSpecification
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
 import org.verbenagauge.entry.jobs.model.ServiceConfiguration
 import org.verbenagauge.entry.jobs.ports.Machine
+import org.verbenagauge.entry.jobs.records.JobRecord
 
 private const val BUSY = "hall"
 private const val IDLE = "counter"
@@ -66,4 +71,34 @@
             moves(engine("w5"), now = 100) shouldBe listOf("m6" to BUSY)
             moves(engine("w5"), now = 2_100) shouldBe listOf("m6" to BUSY)
         }
+
+        test("tasks that must not share a worker bring as many machines as there are of them") {
+            val engine = engine()
+            engine.state.isListKnown = true
+            engine.storeRoster()
+            val apart = step(taskCount = 12, cpuMillis = 100, isLasting = true, maxPerWorker = 1)
+            val record = JobRecord(BUSY, "", 0, JobSpecification("text", listOf(apart)))
+            engine.accept("job", record, now = 100)
+            engine.decide(100, 0).starts().size shouldBe 2
+            val spares = List(20) { Machine("s$it", STANDBY, true, false, false, "a", null) }
+            val planned =
+                MovePlanner(
+                    engine.state,
+                    TurnSizer(),
+                    mostMoves = 40,
+                ).next(machines + spares, emptyList(), emptySet(), 100)
+            (planned.count { it.poolName == BUSY } >= 10) shouldBe true
+        }
+
+        test("no more moves are ordered at once than the platform takes") {
+            val sizer = TableSizer(mapOf(BUSY to 30, IDLE to 2))
+            val spares = List(40) { Machine("s$it", STANDBY, true, false, false, "a", null) }
+            val planned =
+                MovePlanner(
+                    engine().state,
+                    sizer,
+                    mostMoves = 20,
+                ).next(machines + spares, emptyList(), emptySet(), 100)
+            planned.size shouldBe 20
+        }
     })
