--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -92,6 +92,10 @@
     var lastingCount = 0
         private set
 
+    /** Room of runs that last. */
+    var lastingAmount = Amount()
+        private set
+
     fun add(run: Run) {
         runs.put(run.taskId, run)?.let { count(it, -1) }
         free -= run.room
@@ -111,7 +115,9 @@
         change: Int,
     ) {
         if (run.takesAll) takesAllCount += change
-        if (run.specification.isLasting) lastingCount += change
+        if (!run.specification.isLasting) return
+        lastingCount += change
+        lastingAmount = if (change > 0) lastingAmount + run.room else lastingAmount - run.room
     }
 
     /** Whether a task of [step] finds room. */
