Tell once a second which lines of the log were left out

Cause: the counts were written whenever the queue was empty, and the rate of an event was exceeded all the time. Change: at most one report a second, and one at the end. Test: LogQueueTest, more than 6 reports in two seconds before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/LogQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/LogQueue.kt
@@ -21,6 +21,8 @@
     private val queue = ArrayBlockingQueue<LogLine>(capacity)
     private val leftOut = AtomicLongArray(Event.entries.size)
     private val written = AtomicLongArray(Event.entries.size)
+
+    @Volatile private var reportedAtMillis = nowMillis() - MILLIS_PER_SECOND
     private val secondStartMillis = AtomicLongArray(Event.entries.size)
 
     /** Lines of [event] that were left out and not reported yet. */
@@ -48,19 +50,23 @@
         thread.start()
     }
 
-    /** Writes the next line, waiting up to [waitMillis], and what was left out before it. */
+    /** Writes the next line, waiting up to [waitMillis], and once a second what was left out before it. */
     fun writeNext(waitMillis: Long) {
         val line = queue.poll(waitMillis, TimeUnit.MILLISECONDS)
         if (line != null) sink(line)
-        if (line == null || queue.isEmpty()) reportLeftOut()
+        // While lines are left out all the time, a report after each written one would be most of the log.
+        val isDue = nowMillis() - reportedAtMillis >= MILLIS_PER_SECOND
+        if (isDue && (line == null || queue.isEmpty())) reportLeftOut()
     }
 
-    /** Writes all lines that wait. */
+    /** Writes all lines that wait, and what was left out. */
     fun flush() {
         while (queue.isNotEmpty()) writeNext(0)
+        reportLeftOut()
     }
 
     private fun reportLeftOut() {
+        reportedAtMillis = nowMillis()
         Event.entries.forEach { event ->
             val count = leftOut.getAndSet(event.ordinal, 0)
             if (count > 0) sink(LogLine(Event.LINES_LEFT_OUT, "${event.name}: $count lines were left out"))
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/logging/LogQueueTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/logging/LogQueueTest.kt
@@ -27,4 +27,17 @@
             written shouldBe listOf("run 0", "run 1", "end", "later", "RUN_ORDERED: 2 lines were left out")
             written shouldContain "end"
         }
+
+        test("what is left out is told once a second, however often lines are written in between") {
+            val written = ArrayList<String>()
+            var now = 0L
+            val queue = LogQueue({ written += it.message }, nowMillis = { now }, linesPerSecond = 1)
+            repeat(1_000) {
+                now += 2
+                queue.offer(LogLine(Event.RUN_ORDERED, "run"))
+                queue.offer(LogLine(Event.JOB_ENDED, "end"))
+                queue.writeNext(0)
+            }
+            (written.count { "left out" in it } <= 6) shouldBe true
+        }
     })
