Read again only the part of an inheritance whose answer was lost

Cause: one failed read ended the attempt, with its epoch. Change: each place is read until the store has told it, while the duty is kept; event 7006 tells of it. A stop meanwhile gives the duty up. Pages of 200 rows, so that renewals are not held up by decoding. States of ended jobs are kept for three minutes instead of ten, since each new owner and each entry that starts reads them; callers may ask for two.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Inheritance.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Inheritance.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.yield
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.JobEngine
@@ -25,11 +26,11 @@
     private val clock: Clock,
     private val log: EventLog,
 ) {
-    /** Returns the version up to which accepted jobs were read; null when the store did not answer. */
+    /** Returns the version up to which accepted jobs were read; goes on until the store has told all. */
     suspend fun read(
         engine: JobEngine,
         janitor: Janitor,
-    ): Long? {
+    ): Long {
         val places =
             listOf(
                 listOf(StoredTables.states),
@@ -37,8 +38,7 @@
                 listOf(StoredTables.progress),
                 listOf(StoredTables.roster),
             )
-        val read = coroutineScope { places.map { async { readAll(it) } }.awaitAll() }
-        val (states, work, progress, roster) = read.map { it ?: return null }
+        val (states, work, progress, roster) = coroutineScope { places.map { async { readAll(it) } }.awaitAll() }
         states.rows.inTurns { takeState(it, engine, janitor) }
         val progressByJob = progress.rows.associateBy { it.key }
         work.rows.inTurns { takeJob(it, progressByJob, engine) }
@@ -98,17 +98,24 @@
         log.write(Event.DOCUMENT_UNREADABLE, row.key, "a worker of the roster; its leases are waited for")
     }
 
-    private suspend fun readAll(places: List<RowPlace>): RowBatch? =
-        when (val read = store.readAll(places)) {
-            is ReadResult.Read -> read.value
-            else -> {
-                log.write(Event.OWNERSHIP_NOT_TAKEN, "'${places.first().table}' could not be read: $read")
-                null
-            }
+    // Each place by itself, so that an answer that is lost costs one more read of one place.
+    private suspend fun readAll(places: List<RowPlace>): RowBatch {
+        val batches = coroutineScope { places.map { async { readPlace(it) } }.awaitAll() }
+        return RowBatch(batches.flatMap { it.rows }, batches.minOf { it.version })
+    }
+
+    private suspend fun readPlace(place: RowPlace): RowBatch {
+        while (true) {
+            val read = store.readAll(listOf(place))
+            if (read is ReadResult.Read) return read.value
+            log.write(Event.INHERITANCE_DELAYED, place.table, "partition '${place.partition}' is read again: $read")
+            delay(RETRY_MILLIS)
         }
+    }
 
     private companion object {
         // Some milliseconds on a slow machine.
         const val ROWS_IN_A_TURN = 20
+        const val RETRY_MILLIS = 50L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Janitor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Janitor.kt
@@ -74,7 +74,7 @@
         const val MOST_JOBS = 45
         const val TIMEOUT_MILLIS = 1_000L
 
-        // Callers may ask for two minutes.
-        const val KEEP_MILLIS = 600_000L
+        // Callers may ask for two minutes (status_s); what is kept is read by each new owner and each entry that starts.
+        const val KEEP_MILLIS = 180_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerChain.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.owner
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
@@ -66,9 +67,13 @@
         pending = PendingWrite(next, changes)
     }
 
-    /** Begins the write that gives the duty up. */
-    fun beginRelease() {
-        pending = PendingWrite(record.copy(entryId = "", sequence = record.sequence + 1), emptyList())
+    /** Gives the duty up, unless it is lost or the store does not answer for a while. */
+    suspend fun release() {
+        withTimeoutOrNull(RELEASE_MILLIS) {
+            if (isOpen && settle() != null) return@withTimeoutOrNull
+            pending = PendingWrite(record.copy(entryId = "", sequence = record.sequence + 1), emptyList())
+            settle()
+        }
     }
 
     /** Whether [renewMillis] have passed since the last write that is known to be stored was sent. */
@@ -133,6 +138,9 @@
         private const val WRITE_TIMEOUT_MILLIS = 400L
         private const val RETRY_MILLIS = 60L
 
+        // A planned stop has seconds; another entry waits for this write.
+        private const val RELEASE_MILLIS = 1_000L
+
         /** Encodes the row of the owner. */
         fun encode(record: OwnerRecord): ByteArray = RecordCodec.encode(OwnerRecord.serializer(), record)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -96,7 +96,7 @@
             val reason = ended.await()
             parts.cancel()
             drivers.values.forEach { it.close() }
-            if (releaseRequested) giveUp()
+            if (releaseRequested) chain.release()
             reason
         }
 
@@ -123,14 +123,6 @@
         ended.complete("$subject has seen a higher epoch than ${engine.state.epoch}")
     }
 
-    private suspend fun giveUp() {
-        withTimeoutOrNull(RELEASE_MILLIS) {
-            if (chain.isOpen && chain.settle() != null) return@withTimeoutOrNull
-            chain.beginRelease()
-            chain.settle()
-        }
-    }
-
     private suspend fun decideLoop(scope: CoroutineScope) {
         var guardedAtMillis = Long.MIN_VALUE / 2
         while (true) {
@@ -238,8 +230,5 @@
         // Leaves most of the processor to answers and orders.
         const val REST_RATIO = 4L
         const val ORDER_RETRY_MILLIS = 80L
-
-        // A planned stop has seconds; another entry waits for this write.
-        const val RELEASE_MILLIS = 1_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -1,11 +1,8 @@
 package org.verbenagauge.entry.jobs.owner
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.verbenagauge.entry.Child
 import org.verbenagauge.entry.clock.Clock
@@ -142,7 +139,8 @@
         delay(AFTER_LOSS_MILLIS)
     }
 
-    // Others take a row that does not change for that of an owner that is gone, however long reading takes.
+    // Others take a row that does not change for that of an owner that is gone, however long reading takes. Null when the duty
+    // was lost or given up meanwhile.
     private suspend fun inherit(
         chain: OwnerChain,
         newEngine: JobEngine,
@@ -152,22 +150,16 @@
             val reading = async { Inheritance(ports.store, clock, log).read(newEngine, janitor) }
             val renewing =
                 launch {
-                    val lost = OwnerRenewal(chain, settings).renewWhile { reading.isActive } ?: return@launch
-                    log.write(
-                        Event.OWNERSHIP_LOST,
-                        "epoch ${chain.record.epoch}: to '${lost.to?.entryId}' while reading",
-                    )
+                    val lost = OwnerRenewal(chain, settings).renewWhile { reading.isActive && !isStopping }
+                    if (lost != null) {
+                        val epoch = chain.record.epoch
+                        log.write(Event.OWNERSHIP_LOST, "epoch $epoch: to '${lost.to?.entryId}' while reading")
+                    }
+                    if (lost == null && isStopping) chain.release()
                     reading.cancel()
                 }
-            val workVersion =
-                try {
-                    reading.await()
-                } catch (e: CancellationException) {
-                    currentCoroutineContext().ensureActive()
-                    null
-                }
             renewing.join()
-            workVersion
+            if (reading.isCancelled) null else reading.await()
         }
 
     private companion object {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -55,6 +55,7 @@
     OWNERSHIP_NOT_TAKEN(7003, Level.INFO),
     JOBS_INHERITED(7004, Level.INFO),
     RUNS_KNOWN(7005, Level.INFO),
+    INHERITANCE_DELAYED(7006, Level.WARN),
     JOB_TAKEN(7010, Level.INFO),
     JOB_ENDED(7011, Level.INFO),
     JOB_ANSWERED(7012, Level.INFO),
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
@@ -99,7 +99,7 @@
         var version: Long? = null
         while (true) {
             val page =
-                when (val read = page(query(place, from), READ_TIMEOUT_MILLIS)) {
+                when (val read = page("${query(place, from)}&Limit=$PAGE_ROWS", READ_TIMEOUT_MILLIS)) {
                     is ReadResult.Read -> read.value
                     is ReadResult.Failed -> return read
                     is ReadResult.HistoryGone -> return read
@@ -155,6 +155,9 @@
     private companion object {
         const val READ_TIMEOUT_MILLIS = 1_500L
 
+        // Decoded in some milliseconds, so that renewals are not held up between two pages.
+        const val PAGE_ROWS = 200
+
         // Beyond the wait that the call itself asks for.
         const val ANSWER_MILLIS = 600L
         const val KEY_SUCCESSOR = '\u0000'
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoversWhileTheStoreIsSlowTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoversWhileTheStoreIsSlowTest.kt
@@ -28,11 +28,15 @@
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
-/** A store that takes [readMillis] for each read of whole tables and [writeMillis] for each write. */
+/**
+ * A store that takes [readMillis] for each read of whole tables and [writeMillis] for each write, and loses the answers to
+ * the first [lostReads] reads of tables other than the states.
+ */
 private class SlowStore(
     val rows: MemoryRowStore,
     private val readMillis: Long,
     private val writeMillis: Long,
+    private var lostReads: Int,
 ) : RowStore by rows {
     override suspend fun transact(
         expectations: List<RowExpectation>,
@@ -47,6 +51,7 @@
 
     override suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch> {
         delay(readMillis)
+        if (places != listOf(StoredTables.states) && lostReads-- > 0) return ReadResult.Failed("no answer")
         return rows.readAll(places)
     }
 
@@ -80,6 +85,7 @@
 private suspend fun TestScope.play(
     readMillis: Long,
     playMillis: Long = PLAY_MILLIS,
+    lostReads: Int = 0,
 ): SlowPlay {
     val clock =
         object : Clock {
@@ -87,7 +93,7 @@
 
             override fun wallMillis() = testScheduler.currentTime + 10_000
         }
-    val store = SlowStore(MemoryRowStore(), readMillis, writeMillis = 300)
+    val store = SlowStore(MemoryRowStore(), readMillis, writeMillis = 300, lostReads)
     val owner = OwnerRecord("", epoch = 1, sequence = 5, pendingByQueue = mapOf(QUEUE to 7), keepsRoster = true)
     val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerChain.encode(owner))
     store.rows.transact(emptyList(), listOf(row), 100)
@@ -138,6 +144,14 @@
             }
         }
 
+        test("answers that are lost delay a takeover and do not begin it anew") {
+            runTest {
+                val play = play(readMillis = 100, lostReads = 30)
+                play.lost shouldBe emptyList()
+                play.row.epoch shouldBe 2
+            }
+        }
+
         test("what waits is told as before while a new owner reads") {
             runTest {
                 val play = play(readMillis = 4_000, playMillis = 7_000)
