Look at the lease right before each order to a machine and each change of pace

What operators of similar systems saw: a process that had stood still acted on a permission that had run out meanwhile. Here: moves, maintenance, changes of pace and the record of a wave were sent after a look at the lease that a pause could part from them; the platform's fences and the workers refuse the first three, but the record of a wave could be set back by an earlier owner. Change: the lease is looked at right before each of them; a move or maintenance that is not sent is decided anew.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -75,6 +75,8 @@
     private fun worker(move: PoolMove) = move.machine.workerId?.let { engine.state.workers[it] }
 
     private suspend fun order(move: PoolMove) {
+        // The process may have stood still since the decision.
+        if (!mayOrder()) return forget(move)
         val outcome = gateway.move(move.machine.machineId, move.poolName, engine.state.epoch)
         val way = "${move.machine.poolName} to ${move.poolName}"
         log.write(Event.MACHINE_MOVED, move.machine.machineId, "$way, worker ${move.machine.workerId}: $outcome")
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -94,7 +94,7 @@
         progress: WaveProgress,
         machine: Machine,
     ) {
-        val outcome = ports.machines.maintain(machine.machineId, progress.wave.number, engine.state.epoch)
+        val outcome = maintain(progress, machine)
         log.write(
             Event.WAVE_STEP,
             machine.machineId,
@@ -125,6 +125,15 @@
         progress.inFlight -= machine.machineId
     }
 
+    // Another owner may have taken over since the decision, if the process stood still.
+    private suspend fun maintain(
+        progress: WaveProgress,
+        machine: Machine,
+    ): MachineOutcome {
+        if (!mayOrder()) return MachineOutcome.TryLater
+        return ports.machines.maintain(machine.machineId, progress.wave.number, engine.state.epoch)
+    }
+
     // Says nothing of an earlier order without an answer, which stays in force until one is answered.
     private suspend fun refused(
         progress: WaveProgress,
@@ -175,6 +184,8 @@
     }
 
     private suspend fun store(progress: WaveProgress): Boolean {
+        // A later owner may know of more machines that are done.
+        if (!mayOrder()) return false
         val record = RecordCodec.encode(WaveRecord.serializer(), progress.record())
         val changes =
             listOf(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -181,6 +181,7 @@
 
     private suspend fun pace(action: EngineAction.Pace) {
         val epoch = engine.state.epoch
+        if (!writer.isLeaseValid()) return
         ports.workers.pace(action.address, action.taskId, action.runId, action.percentage, epoch)
     }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MoveWithoutLeaseTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MoveWithoutLeaseTest.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.fleet
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
@@ -9,8 +10,11 @@
 import kotlinx.coroutines.test.runTest
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.MemoryRowStore
+import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.readyEngine
 import org.verbenagauge.entry.jobs.model.MaintenanceWave
+import org.verbenagauge.entry.jobs.model.ServiceConfiguration
 import org.verbenagauge.entry.jobs.ports.Machine
 import org.verbenagauge.entry.jobs.ports.MachineGateway
 import org.verbenagauge.entry.jobs.ports.MachineOutcome
@@ -23,12 +27,18 @@
 /** Machines whose list comes late, and whose orders get no answer. */
 private class SlowMachines(
     private val listMillis: Long,
+    private val machineCount: Int = 1,
 ) : MachineGateway {
     var orders = 0
+    var lists = 0
 
     override suspend fun list(): List<Machine> {
         delay(listMillis)
-        return listOf(Machine("m1", POOL, isUp = true, isInMaintenance = false, isLost = false, "a", workerId = null))
+        lists++
+        // The first one runs no worker.
+        return List(machineCount) { number ->
+            Machine("m${number + 1}", POOL, true, false, false, "a", workerId = if (number == 0) null else "w$number")
+        }
     }
 
     override suspend fun maintain(
@@ -44,9 +54,17 @@
         machineId: String,
         poolName: String,
         fencingToken: Long,
-    ): MachineOutcome = MachineOutcome.TryLater
+    ): MachineOutcome {
+        orders++
+        return MachineOutcome.TryLater
+    }
 }
 
+private class PauseCase(
+    val name: String,
+    val run: suspend (WavePorts, MachineBoard, JobEngine, Clock, () -> Boolean) -> Unit,
+)
+
 // Incident 003: the lease is looked at before the list of machines is read, not when an order on a machine is sent.
 @OptIn(ExperimentalCoroutinesApi::class)
 class MoveWithoutLeaseTest :
@@ -75,4 +93,42 @@
                 machines.orders shouldBe 0
             }
         }
+
+        context("nothing is ordered when the lease passes between a decision and its sending") {
+            withData(
+                nameFn = { it.name },
+                PauseCase("maintenance") { ports, board, engine, clock, mayOrder ->
+                    WaveRunner(ports, board, engine, clock, EventLog("a"), mayOrder, { }).run()
+                },
+                PauseCase("a move") { ports, board, engine, clock, mayOrder ->
+                    PoolMover(ports.machines, board, engine, clock, EventLog("a"), mayOrder, { }, 64.0).run()
+                },
+            ) { case ->
+                runTest {
+                    val clock =
+                        object : Clock {
+                            override fun monotonicMillis() = testScheduler.currentTime
+
+                            override fun wallMillis() = testScheduler.currentTime
+                        }
+                    val engine = readyEngine(*Array(20) { "w$it" })
+                    val plain = configuration()
+                    val spare = "spare" to ServiceConfiguration("spare", guardsRoom = false, isStandby = true)
+                    engine.configure(plain.copy(version = 2, services = plain.services + spare))
+                    val machines = SlowMachines(listMillis = 10, machineCount = 20)
+                    val reports = WaveReports { _, _ -> RowChange(RowPlace("status"), "wave/1", ByteArray(1)) }
+                    val wave = MaintenanceWave(1, listOf("m1"), 10_000, 1)
+                    val ports = WavePorts(machines, MemoryRowStore(), reports) { listOf(wave) }
+                    // The last look before a decision finds the lease, the next one does not.
+                    var looksAfterList = 0
+                    val mayOrder = { machines.lists == 0 || ++looksAfterList == 1 }
+                    val board = MachineBoard(machines, clock)
+                    val running = backgroundScope.launch { case.run(ports, board, engine, clock, mayOrder) }
+                    advanceTimeBy(2_000)
+                    running.cancel()
+                    (looksAfterList > 1) shouldBe true
+                    machines.orders shouldBe 0
+                }
+            }
+        }
     })
