Run a failed part of an entry on the platform again

What operators of similar systems saw: one malformed message or unexpected error took a whole process down. Here: the parts of 'verbenagauge run' had no supervisor. An error in the owner's term, in the states or in the operator's documents ended that part for good while the process went on and said that it was ready. Change: the supervisor of 'serve' runs them again (event 1005); an error in one message or call ends it alone (event 1009).

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.verbenagauge.entry.child
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.fleet.WavePorts
@@ -21,6 +22,7 @@
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.peers.PeerNetwork
+import org.verbenagauge.entry.supervise
 
 /**
  * Outside systems that an entry which runs jobs talks to.
@@ -74,8 +76,8 @@
 
     /** Runs the parts in [scope] until it is cancelled. */
     public fun start(scope: CoroutineScope) {
-        scope.launch { catalogue.run() }
-        scope.launch { ownership.run() }
+        scope.launch { supervise(child("state catalogue", catalogue::run), log) }
+        scope.launch { supervise(ownership, log) }
         registerGauges()
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -9,6 +9,7 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondText
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -19,6 +20,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
+import org.verbenagauge.entry.child
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.jobs.JobMetrics
 import org.verbenagauge.entry.jobs.JobPorts
@@ -35,6 +37,7 @@
 import org.verbenagauge.entry.peers.SocketPeerNetwork
 import org.verbenagauge.entry.relay.EntryDirectory
 import org.verbenagauge.entry.relay.StoreRelay
+import org.verbenagauge.entry.supervise
 import java.nio.file.Path
 import java.util.concurrent.Executors
 
@@ -57,7 +60,16 @@
     private val executor =
         Executors.newSingleThreadExecutor { task -> Thread(task, "entry").also { it.isDaemon = true } }
     private val dispatcher = executor.asCoroutineDispatcher()
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+
+    // One message or call that fails unexpectedly ends alone.
+    private val failures =
+        CoroutineExceptionHandler {
+            _,
+            e,
+            ->
+            log.write(Event.UNEXPECTED_FAILURE, e.stackTraceToString().take(MOST_TRACE_CHARS))
+        }
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + failures)
     private val selector = SelectorManager(Dispatchers.IO)
     private val waves = HashMap<String, MaintenanceWave>()
     private val link = StoreLink(selector, address(settings.platform.store), clock, scope, log, metrics)
@@ -99,7 +111,7 @@
     /** Starts listeners and parts. */
     public fun start() {
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false")
-        scope.launch { documents.run() }
+        scope.launch { supervise(child("operator documents", documents::run), log) }
         jobs.start(scope)
         directory?.let { scope.launch { connectPeers(it) } }
         callerServer.start(wait = false)
@@ -146,14 +158,14 @@
 
     private suspend fun connectPeers(directory: EntryDirectory) {
         val address = checkNotNull(peerAddress) { "listeners.peers is not set" }
-        scope.launch { directory.run() }
+        scope.launch { supervise(child("entry directory", directory::run), log) }
         val endpoint = PeerEndpoint(address.host, address.port, directory.secret())
         val network = SocketPeerNetwork(settings.entry.id, endpoint, clock, log, addresses = directory::peers)
         val relay = StoreRelay(network, scope, link::direct)
         relay.start()
         link.relay = relay
         jobs.connect(network, scope, directory::coresOf)
-        network.run()
+        supervise(child("peers", network::run), log)
     }
 
     private fun wave(
@@ -200,5 +212,8 @@
         const val GRACE_MILLIS = 200L
         const val TIMEOUT_MILLIS = 1_000L
         const val READY_SILENCE_MILLIS = 2_500L
+
+        // The first frames name the place.
+        const val MOST_TRACE_CHARS = 1_500
     }
 }
