Refuse jobs that no entry can keep, at the door and when they are read

What callers could do: a job with two billion tasks, 70 bytes, was accepted. Each entry that became the owner made a list of them, ran out of memory and ended; so did the next one, until nobody decided. Two billion occurrences held up each decision instead. Cause: only the product's own interface checked specifications, the platform's did not. Change: up to 10,000 tasks in all steps and 105,120 occurrences on both interfaces, 400 with the field otherwise; an owner leaves out what an earlier release has stored (event 7013). Measured: SizeProblemTest, and JobTooLargeTest, which ends with OutOfMemoryError before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -56,6 +56,7 @@
 /** Kinds of [EngineNote]. */
 internal enum class NoteKind {
     JOB_TAKEN,
+    JOB_TOO_LARGE,
     JOB_ENDED,
     RUN_ORDERED,
     RUN_ENDED,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -3,6 +3,7 @@
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.model.sizeProblem
 import org.verbenagauge.entry.jobs.ports.ListedWorker
 import org.verbenagauge.entry.jobs.ports.ListingOutcome
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
@@ -65,6 +66,7 @@
         acceptedAtMillis: Long,
         now: Long,
     ) {
+        if (isTooLarge(id, record)) return
         registry.accept(id, record, acceptedAtMillis, progress, mayHaveEarlierRuns = true, now = now)
         listings.jobRead(id, now)
     }
@@ -75,12 +77,23 @@
         record: JobRecord,
         now: Long,
     ) {
+        if (isTooLarge(id, record)) return
         // The earlier owner may have read it as well, and orders until its lease has passed.
         val mayHaveEarlierRuns = state.workReadAsOfMillis <= state.startedAtMillis + limits.ownerLeaseMillis
         registry.accept(id, record, now, progress = null, mayHaveEarlierRuns = mayHaveEarlierRuns, now = now)
         listings.jobRead(id, now)
     }
 
+    // Stored by a release that took such jobs in: an owner that kept it would not live, nor would the next one.
+    private fun isTooLarge(
+        id: String,
+        record: JobRecord,
+    ): Boolean {
+        val problem = sizeProblem(record.specification) ?: return false
+        state.note(NoteKind.JOB_TOO_LARGE, id, problem)
+        return true
+    }
+
     /** Takes note that every job that was accepted before [asOfMillis] has been read. */
     fun workRead(asOfMillis: Long) {
         state.workReadAsOfMillis = maxOf(state.workReadAsOfMillis, asOfMillis)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/SpecificationProblem.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/SpecificationProblem.kt
@@ -3,6 +3,7 @@
 /** Returns what is wrong with [specification], as a field and what to write there; null when it can be taken. */
 public fun specificationProblem(specification: JobSpecification): String? {
     if (specification.steps.isEmpty()) return "steps: write at least one step"
+    sizeProblem(specification)?.let { return it }
     if (specification.repetitions < 0) return "repetitions: write 0 or more"
     if (specification.repetitions > 1 && specification.intervalMillis < 1) {
         return "intervalMillis: write the time from one occurrence to the next, at least 1"
@@ -12,12 +13,24 @@
     }
 }
 
+/**
+ * Returns why [specification] is too large to be kept by any entry, as a field and what to write there; null when it can be
+ * kept. One job must not exhaust the memory of each entry that decides.
+ */
+public fun sizeProblem(specification: JobSpecification): String? {
+    if (specification.repetitions > MOST_REPETITIONS) return "repetitions: write a number up to $MOST_REPETITIONS"
+    if (specification.steps.any { it.taskCount !in 1..MOST_TASKS }) {
+        return "steps: write a number of tasks from 1 to $MOST_TASKS in each step"
+    }
+    val tasks = specification.steps.sumOf { it.taskCount.toLong() }
+    return if (tasks > MOST_TASKS) "steps: write up to $MOST_TASKS tasks in all steps together" else null
+}
+
 private fun stepProblem(
     index: Int,
     step: StepSpecification,
 ): String? =
     when {
-        step.taskCount !in 1..MOST_TASKS -> "taskCount: write a number from 1 to $MOST_TASKS"
         step.amount.cpuMillis < 0 || step.amount.memoryMegabytes < 0 || step.amount.gpus < 0 ->
             "amount: write numbers of 0 or more"
         step.estimatedMillis < 0 -> "estimatedMillis: write 0 or more"
@@ -29,3 +42,6 @@
 
 // Far more than a fleet of the planned size runs at once.
 private const val MOST_TASKS = 10_000
+
+// A year of occurrences five minutes apart.
+private const val MOST_REPETITIONS = 105_120
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -7,6 +7,7 @@
 internal fun eventOf(kind: NoteKind): Event =
     when (kind) {
         NoteKind.JOB_TAKEN -> Event.JOB_TAKEN
+        NoteKind.JOB_TOO_LARGE -> Event.JOB_TOO_LARGE
         NoteKind.JOB_ENDED -> Event.JOB_ENDED
         NoteKind.RUN_ORDERED -> Event.RUN_ORDERED
         NoteKind.RUN_ENDED -> Event.RUN_ENDED
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
@@ -25,6 +25,7 @@
 import org.verbenagauge.entry.jobs.front.JobLookup
 import org.verbenagauge.entry.jobs.front.SubmitOutcome
 import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.model.sizeProblem
 
 private const val KEY_HEADER = "X-Verbenagauge-Credential"
 private const val WAIT_HEADER = "X-Verbenagauge-Deadline-Ms"
@@ -103,6 +104,7 @@
     val most = calls.configuration?.maxBodyBytes ?: DEFAULT_BODY_BYTES
     if (body == null || body.size > most) return ClientAnswer(HttpStatusCode.PayloadTooLarge)
     val specification = readJob(body) ?: return ClientAnswer(HttpStatusCode.BadRequest)
+    if (sizeProblem(specification) != null) return ClientAnswer(HttpStatusCode.BadRequest)
     return when (val outcome = calls.submit(admitted, specification, waitMillis)) {
         is SubmitOutcome.Accepted -> ClientAnswer(HttpStatusCode.OK, "{}")
         is SubmitOutcome.Refused ->
