Tell in a few comparisons that a task fits nowhere

What callers saw: with thousands of jobs waiting each decision took milliseconds, and at 20,000 a tenth of a second now and then. Cause: each of a hundred jobs that found no room was tried on every worker of its service, since rooms have two parts and no single bound covered them; and each 5% by which a mean run time wavered put all waiting jobs in order anew. Change: FreeRoom keeps those rooms that no other exceeds. Expected run times are told anew at 15% after the first twenty runs, and only jobs of that queue move.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
@@ -51,7 +51,7 @@
     private val ranks = TreeSet<Rank>()
     private val lapsing = PriorityQueue<Rank>(compareBy { it.validUntilMillis })
     private val changed = LinkedHashSet<JobEntry>()
-    private var timesVersion = times.version
+    private val versionByQueue = HashMap<String, Int>()
 
     val isEmpty: Boolean get() = rankByJob.isEmpty() && changed.none { it.readyCount > 0 }
 
@@ -82,10 +82,9 @@
     }
 
     fun inOrder(now: Long): Collection<Rank> {
-        if (timesVersion != times.version) {
-            timesVersion = times.version
-            changed += rankByJob.keys
-        }
+        val moved = versionByQueue.filter { (queue, version) -> times.version(queue) != version }.keys
+        if (moved.isNotEmpty()) rankByJob.keys.filterTo(changed) { it.queue.name in moved }
+        moved.forEach { versionByQueue[it] = times.version(it) }
         while (lapsing.isNotEmpty() && lapsing.peek().validUntilMillis < now) {
             val lapsed = lapsing.poll()
             if (rankByJob[lapsed.job] === lapsed) changed += lapsed.job
@@ -101,6 +100,7 @@
     ) {
         rankByJob.remove(job)?.let(ranks::remove)
         if (job.readyCount == 0) return
+        versionByQueue.getOrPut(job.queue.name) { times.version(job.queue.name) }
         val rank = order.rank(job, now)
         rankByJob[job] = rank
         ranks += rank
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTimes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTimes.kt
@@ -11,13 +11,13 @@
         var millis: Double = 0.0,
         var runs: Int = 0,
         var toldMillis: Double = 0.0,
+        var version: Int = 0,
     )
 
     private val meanByQueue = HashMap<String, Mean>()
 
-    /** Rises whenever an expectation changes. */
-    var version = 0L
-        private set
+    /** Rises whenever what is expected of [queueName] changes. */
+    fun version(queueName: String): Int = meanByQueue[queueName]?.version ?: 0
 
     /** Takes note that a task of [queueName] was done after [millis]. */
     fun learn(
@@ -28,9 +28,10 @@
         mean.runs++
         mean.millis += (millis - mean.millis) * maxOf(LEARNING_RATE, 1.0 / mean.runs)
         // What is ordered by expectations is ordered anew with each change of them.
-        if (abs(mean.millis - mean.toldMillis) <= mean.toldMillis * STEADY_SHARE) return
+        val isSteady = mean.runs > KNOWN_RUNS && abs(mean.millis - mean.toldMillis) <= mean.toldMillis * STEADY_SHARE
+        if (isSteady) return
         mean.toldMillis = mean.millis
-        version++
+        mean.version++
     }
 
     /** Whether enough runs of [queueName] were seen to the end to judge a worker by the next one. */
@@ -48,8 +49,8 @@
     private companion object {
         const val LEARNING_RATE = 0.05
 
-        // Far less than what one task differs from the next.
-        const val STEADY_SHARE = 0.05
+        // Twice what the mean wavers by where tasks differ by half of it.
+        const val STEADY_SHARE = 0.15
 
         // The mean of fewer runs can be off by half: short tasks end first after a change of the owner.
         const val KNOWN_RUNS = 20
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -35,7 +35,8 @@
                         .filter { it.isOpen && !it.isDone && it.specification.mayRunCopies }
                 if (steps.isEmpty()) return@forEach
                 val recorded = takingWork(job.queue.serviceName).recordedFor(job.queue.name)
-                steps.forEach { StepPass(it, recorded, limit, now, RoomShortage()).runCopies() }
+                val room = FreeRoom(recorded)
+                steps.forEach { StepPass(it, recorded, limit, now, room).runCopies() }
             }
     }
 
@@ -59,7 +60,7 @@
         private val workers = takingWork(serviceName)
         private val recordedByQueue = HashMap<String, List<WorkerEntry>>()
         private val areRunsKnown = HashMap<String, Boolean>()
-        private val shortageByQueue = HashMap<String, RoomShortage>()
+        private val roomByQueue = HashMap<String, FreeRoom>()
         private val seenByTeam = HashMap<String, Amount>()
 
         fun run() {
@@ -80,13 +81,13 @@
             val queueName = job.queue.name
             val teamName = job.record.teamName
             val recorded = recordedByQueue.getOrPut(queueName) { workers.recordedFor(queueName) }
-            val shortage = shortageByQueue.getOrPut(queueName) { RoomShortage(recorded) }
+            val room = roomByQueue.getOrPut(queueName) { FreeRoom(recorded) }
             val limit = configuration.teams[teamName]?.limit
             var hasRoom = true
             job.open.values.forEach { occurrence ->
                 occurrence.steps.filter { it.readyCount > 0 }.forEach { step ->
                     seenByTeam.merge(teamName, step.room(step.readyCount), Amount::plus)
-                    val pass = StepPass(step, recorded, limit, now, shortage)
+                    val pass = StepPass(step, recorded, limit, now, room)
                     pass.run()
                     hasRoom = hasRoom && !pass.isShort
                 }
@@ -110,7 +111,7 @@
         private val workers: List<WorkerEntry>,
         private val limit: Amount?,
         private val now: Long,
-        private val shortage: RoomShortage,
+        private val room: FreeRoom,
     ) {
         private val specification: StepSpecification = step.specification
         private val job = step.occurrence.job
@@ -121,7 +122,7 @@
 
         fun run() {
             val allowed = if (job.queue.advice == null) workers else advised() ?: return
-            if (shortage.covers(specification)) {
+            if (!room.mayFit(specification)) {
                 want(step.readyCount)
                 return
             }
@@ -129,12 +130,9 @@
             val missing = if (specification.isGang) startGang(ready, allowed) else startEach(ready, allowed)
             if (missing == 0) return
             want(missing)
-            val isForAll = job.queue.advice == null
-            if (isShort && isForAll && !hasRoom(allowed)) shortage.found(specification)
+            if (isShort && allowed.none { it.hasRoomFor(specification) }) room.refresh()
         }
 
-        private fun hasRoom(candidates: List<WorkerEntry>) = candidates.any { it.hasRoomFor(specification) }
-
         // A task that avoids the workers on which it failed does not hold up the others. Returns how many have to wait.
         private fun startEach(
             ready: List<TaskEntry>,
@@ -144,7 +142,7 @@
             for (task in ready) {
                 if (start(task, candidates)) {
                     started++
-                } else if (!hasRoom(candidates)) {
+                } else if (candidates.none { it.hasRoomFor(specification) }) {
                     break
                 }
             }
@@ -298,33 +296,3 @@
         const val LOOKAHEAD = 100
     }
 }
-
-/** What is known not to fit on any of [workers] in one pass, during which room only shrinks. */
-private class RoomShortage(
-    private val workers: List<WorkerEntry> = emptyList(),
-) {
-    private val found = ArrayList<StepSpecification>()
-
-    // At most this much of each part is free on any worker, though perhaps not on the same one.
-    private var mostFree = mostFree()
-
-    private fun mostFree() =
-        Amount(
-            cpuMillis = workers.maxOfOrNull { it.free.cpuMillis } ?: 0,
-            memoryMegabytes = workers.maxOfOrNull { it.free.memoryMegabytes } ?: 0,
-            gpus = workers.maxOfOrNull { it.free.gpus } ?: 0,
-        )
-
-    /** Takes note that no worker has room for a task of [step]. */
-    fun found(step: StepSpecification) {
-        found += step
-        mostFree = mostFree()
-    }
-
-    /** Whether no worker has room for a task of [step], as far as that is known. */
-    fun covers(step: StepSpecification): Boolean {
-        if (!step.isFiller && step.amount.cpuMillis > mostFree.cpuMillis) return true
-        if (step.amount.memoryMegabytes > mostFree.memoryMegabytes) return true
-        return found.any { it.isFiller == step.isFiller && it.amount.fitsInto(step.amount) }
-    }
-}
