Tell whether the owner keeps up, and check settings without a start

What operators lacked: nothing told whether a slow first start comes from a full fleet or from an owner that is behind, and settings of 'run' were only checked by starting. Change: gauges verbenagauge_event_age_seconds and verbenagauge_decision_seconds over five seconds, a section of docs/OPERATIONS.md that reads them, and 'verbenagauge settings-check'. Tests: DecisionPaceTest, SettingsCheckTest.

--- a/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
+++ b/verbenagauge-cli/src/main/kotlin/org/verbenagauge/cli/Main.kt
@@ -24,7 +24,15 @@
     if (args.size > 2 && args.last() in helpFlags) groups.firstOrNull { it.name == args[0] }?.printHelpOf(args[1])
     val parser = ArgParser("verbenagauge")
     val commands =
-        listOf(ServeCommand(), RunCommand(), WarmUpCommand(), MembersCommand(), StatusCommand(), AuditCommand())
+        listOf(
+            ServeCommand(),
+            RunCommand(),
+            SettingsCheckCommand(),
+            WarmUpCommand(),
+            MembersCommand(),
+            StatusCommand(),
+            AuditCommand(),
+        )
     parser.subcommands(*(commands + groups).toTypedArray())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     exitProcess(ExitCode.OK.number)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -112,6 +112,15 @@
 
     private fun registerGauges() {
         metrics.gauge("verbenagauge_owner", "1 while this entry decides on placement") { if (isOwner) 1.0 else 0.0 }
+        metrics.gauge(
+            "verbenagauge_event_age_seconds",
+            "Longest wait of an event for its decision in the last five seconds",
+        ) {
+            ownership.longestEventAgeMillis() / MILLIS_PER_SECOND
+        }
+        metrics.gauge("verbenagauge_decision_seconds", "Longest decision in the last five seconds") {
+            ownership.longestDecisionMillis() / MILLIS_PER_SECOND
+        }
         metrics.gauge("verbenagauge_configuration_version", "Version of the configuration in force here") {
             calls.configuration?.version?.toDouble() ?: 0.0
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -57,6 +57,9 @@
     private val writer = OwnerWriter(chain, engine, clock, settings, janitor)
     private var releaseRequested = false
 
+    /** Whether decisions keep up with events. */
+    val pace = DecisionPace()
+
     /** Ends the term after the duty was given up in the store. */
     fun release() {
         releaseRequested = true
@@ -65,6 +68,7 @@
 
     /** Lets the engine decide soon. */
     fun wake() {
+        pace.event(clock.monotonicMillis())
         signal.trySend(Unit)
     }
 
@@ -138,7 +142,9 @@
             }
             if (engine.hasChanges) writer.wake()
             // Events of some moments share a decision; of more on a machine that is short of processor.
-            val tookMillis = clock.monotonicMillis() - now
+            val endMillis = clock.monotonicMillis()
+            pace.decided(now, endMillis)
+            val tookMillis = endMillis - now
             delay((tookMillis * REST_RATIO).coerceIn(BATCH_MILLIS, MOST_BATCH_MILLIS))
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -48,6 +48,12 @@
     /** Whether this entry holds the duty. */
     val isOwner: Boolean get() = term != null
 
+    /** Longest wait of an event for its decision of late; 0 while this entry does not decide. */
+    fun longestEventAgeMillis(): Long = term?.pace?.longestAgeMillis(clock.monotonicMillis()) ?: 0
+
+    /** Longest decision of late; 0 while this entry does not decide. */
+    fun longestDecisionMillis(): Long = term?.pace?.longestDecisionMillis(clock.monotonicMillis()) ?: 0
+
     /** Takes in a newer [newer] configuration. */
     fun configure(newer: JobsConfiguration) {
         configuration = newer
