--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -92,10 +92,6 @@
     var lastingCount = 0
         private set
 
-    /** Room of runs that last. */
-    var lastingAmount = Amount()
-        private set
-
     fun add(run: Run) {
         runs.put(run.taskId, run)?.let { count(it, -1) }
         free -= run.room
@@ -115,9 +111,7 @@
         change: Int,
     ) {
         if (run.takesAll) takesAllCount += change
-        if (!run.specification.isLasting) return
-        lastingCount += change
-        lastingAmount = if (change > 0) lastingAmount + run.room else lastingAmount - run.room
+        if (run.specification.isLasting) lastingCount += change
     }
 
     /** Whether a task of [step] finds room. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -52,30 +52,18 @@
         val busyIds = underway.mapTo(HashSet()) { it.machine.machineId }
         val free = machines.filter { it.isUp && it.machineId !in busyIds }
         val rooms = served.map { pool -> room(pool, machines, underway, now) }
-        val settled = rooms.filter { it.poolName !in unsettled }
+        val moves = ArrayList<PoolMove>()
         val supply = ArrayDeque(free.filter { it.poolName in standby })
-        settled.forEach { supply.addAll(idle(it, free).take(it.beyond(it.size.kept))) }
-        val lent = ArrayDeque<Machine>()
-        settled.forEach { room ->
-            val beyondKept = room.beyond(room.size.kept)
-            lent.addAll(idle(room, free).drop(beyondKept).take(room.beyond(room.size.needed) - beyondKept))
+        rooms.filter { it.surplus > 0 && it.poolName !in unsettled }.forEach { room ->
+            supply.addAll(idle(room, free).take(room.surplus))
         }
-        val moves = ArrayList<PoolMove>()
-
-        fun fill(
-            room: PoolRoom,
-            machines: Int,
-            vararg sources: ArrayDeque<Machine>,
-        ) = repeat(machines) {
-            val source = sources.firstOrNull { source -> source.any { it.kind to room.poolName !in barred } }
-            val machine = source?.first { it.kind to room.poolName !in barred } ?: return@repeat
-            source.remove(machine)
-            moves += PoolMove(machine, room.poolName)
+        rooms.filter { it.surplus < 0 }.sortedBy { it.surplus.toDouble() / it.wantedMachines }.forEach { room ->
+            repeat(-room.surplus) {
+                val machine = supply.firstOrNull { it.kind to room.poolName !in barred } ?: return@repeat
+                supply.remove(machine)
+                moves += PoolMove(machine, room.poolName)
+            }
         }
-        rooms
-            .sortedByDescending { it.short(it.size.needed).toDouble() / it.size.needed }
-            .forEach { fill(it, it.short(it.size.needed), supply, lent) }
-        rooms.forEach { fill(it, it.short(it.size.kept) - it.short(it.size.needed), supply) }
         val rest = standby.firstOrNull() ?: return moves.take(mostMoves)
         supply
             .filter { it.poolName !in standby && it.kind to rest !in barred }
@@ -85,15 +73,9 @@
 
     private class PoolRoom(
         val poolName: String,
-        val size: PoolSize,
-        val present: Int,
-    ) {
-        /** Machines that are missing of [wanted]. */
-        fun short(wanted: Int) = maxOf(0, wanted - present)
-
-        /** Machines that are there beyond [wanted]. */
-        fun beyond(wanted: Int) = maxOf(0, present - wanted)
-    }
+        val wantedMachines: Int,
+        val surplus: Int,
+    )
 
     private fun room(
         pool: String,
@@ -104,14 +86,13 @@
         val workers = state.workersOf(pool)
         val capacity = workers.firstOrNull()?.listed?.capacity ?: fallbackCapacity()
         val used = workers.fold(Amount()) { sum, worker -> sum + (worker.listed.capacity - worker.free) }
-        val lasting = workers.fold(Amount()) { sum, worker -> sum + worker.lastingAmount }
         val missing = state.wantedByService[pool] ?: MissingRoom()
+        val demand = PoolDemand(pool, used, missing.amount, capacity, missing.workers)
+        val wanted = sizer.size(demand, now)
         val serving = workers.count { isAwaited(it, now) || it.takesWork && it.avoidUntilMillis <= now }
         val returning = machines.count { it.poolName == pool && !it.isUp && !it.isLost }
         val coming = underway.count { it.poolName == pool && it.machine.poolName != pool && !isSeen(it, machines) }
-        val present = serving + returning + coming
-        val demand = PoolDemand(pool, used, missing.amount, capacity, lasting, missing.workers, present)
-        return PoolRoom(pool, sizer.size(demand, now), present)
+        return PoolRoom(pool, wanted, serving + returning + coming - wanted)
     }
 
     // Workers answer within moments after a takeover or after they were listed, or do not for now.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/PoolMover.kt
@@ -32,9 +32,7 @@
         var isDone: Boolean = false,
     )
 
-    // Later owners find what earlier ones have made of the pools.
-    private val sizer = ForesightSizer(keepsUntried = engine.state.epoch == FIRST_EPOCH)
-    private val planner = MovePlanner(engine.state, sizer, mostMoves(ordersPerSecond))
+    private val planner = MovePlanner(engine.state, TurnSizer(), mostMoves(ordersPerSecond))
     private val underway = HashMap<String, Underway>()
     private val barred = HashSet<Pair<String, String>>()
 
@@ -118,7 +116,6 @@
 
     private companion object {
         const val RESERVATION = "move"
-        const val FIRST_EPOCH = 1L
         const val TICK_MILLIS = 100L
         const val MILLIS_PER_SECOND = 1_000.0
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlannerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlannerTest.kt
@@ -20,15 +20,14 @@
 private const val IDLE = "counter"
 private const val STANDBY = "spare"
 
-// Wants as many machines as the table says, and keeps those that the other one says.
+// Wants as many machines as the table says.
 private class TableSizer(
     private val machinesByPool: Map<String, Int>,
-    private val keptByPool: Map<String, Int> = machinesByPool,
 ) : PoolSizer {
     override fun size(
         demand: PoolDemand,
         now: Long,
-    ) = PoolSize(machinesByPool.getValue(demand.poolName), keptByPool.getValue(demand.poolName))
+    ): Int = machinesByPool.getValue(demand.poolName)
 }
 
 private fun queue(service: String) =
@@ -73,17 +72,6 @@
             moves(engine("w5"), now = 2_100) shouldBe listOf("m6" to BUSY)
         }
 
-        test("what a pool keeps goes to one that needs it, and nothing is taken for what is only expected") {
-            val kept = TableSizer(mapOf(BUSY to 4, IDLE to 1), mapOf(BUSY to 4, IDLE to 3))
-            MovePlanner(engine().state, kept)
-                .next(machines, emptyList(), emptySet(), 100)
-                .map { it.machine.machineId to it.poolName } shouldBe listOf("m6" to BUSY, "m3" to BUSY)
-            val expecting = TableSizer(mapOf(BUSY to 2, IDLE to 1), mapOf(BUSY to 5, IDLE to 3))
-            MovePlanner(engine().state, expecting)
-                .next(machines, emptyList(), emptySet(), 100)
-                .map { it.machine.machineId to it.poolName } shouldBe listOf("m6" to BUSY)
-        }
-
         test("tasks that must not share a worker bring as many machines as there are of them") {
             val engine = engine()
             engine.state.isListKnown = true
