Record a worker for some queues of its pool at once, not for each of hundreds

What callers saw: with a configuration of 1,400 more routes the owner was short of processor in each turn of moves. Cause: a worker that joins a pool was recorded for each queue of its service one by one, each time copying the set of those before: some 280 sets of up to 280 names for each of 1,700 moves, and rows of 4 KB. Change: one record with up to 20 queues; others are recorded with their first task, as before for queues that came later. Measured: ManyQueuesTest; 280 names in the row before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -148,12 +148,17 @@
         if (!known.isHeard || known.firstFailureMillis != null) state.act(EngineAction.Watch(listed.address))
     }
 
-    // The first task of a queue need not wait for the store then.
+    // The first task of a queue need not wait for the store then. Of many queues most are idle, and rows would only grow.
     private fun recordEarly(worker: WorkerEntry) {
-        state.configuration
-            ?.queues
-            ?.filter { it.serviceName == worker.listed.serviceName }
-            ?.forEach { state.roster.ensureRecorded(worker, it.name) }
+        val queueNames =
+            state.configuration
+                ?.queues
+                .orEmpty()
+                .asSequence()
+                .filter { it.serviceName == worker.listed.serviceName }
+                .take(MOST_EARLY_QUEUES)
+                .mapTo(LinkedHashSet()) { it.name }
+        if (queueNames.isNotEmpty()) state.roster.ensureRecorded(worker, queueNames)
     }
 
     /** Takes in a worker that may hold runs of earlier owners; it is asked although it may not be listed. */
@@ -421,5 +426,8 @@
 
     private companion object {
         const val TICKET_MARGIN_MILLIS = 500L
+
+        // More than serve one pool where nothing grows at once; the others are recorded with their first task.
+        const val MOST_EARLY_QUEUES = 20
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -41,7 +41,15 @@
     ): Boolean {
         val known = stored[worker.id].takeIf { worker.id !in changes }
         if (known != null && queueName in known.queueNames && isOf(known, worker.listed)) return true
-        val record = recordOf(worker, queuesOf(worker.id) + queueName)
+        return ensureRecorded(worker, setOf(queueName))
+    }
+
+    /** Has the row stored that lets tasks of all [queueNames] be ordered on [worker]; whether it is stored already. */
+    fun ensureRecorded(
+        worker: WorkerEntry,
+        queueNames: Set<String>,
+    ): Boolean {
+        val record = recordOf(worker, queuesOf(worker.id) + queueNames)
         val isStored = stored[worker.id] == record && worker.id !in underway
         // A worker that is back before its removal was written keeps its row.
         if (isStored) {
