Let a large answer come in, and read rows whole when their feed stays behind

A call had to bring its whole answer within its time, however large; the feed tells each version in full, so that what has gathered only grows, and each try brings megabytes for nothing. Change: the time limit is for the head of an answer, its body has five seconds; a feed that fails three times in a row is left for a read of the rows as they are now, which is one version. Measured: TableFollowerTest, nothing read before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
@@ -51,11 +51,13 @@
     ) {
         val feed = store.feed(places.first().table)
         var version = since
+        var failures = 0
         try {
             while (true) {
                 when (val read = feed.changesAfter(version, waitMillis)) {
                     is ReadResult.Read -> {
                         onContact(true)
+                        failures = 0
                         if (read.value.rows.isNotEmpty()) onChanges(read.value)
                         version = maxOf(version, read.value.version)
                         delay(pauseMillis)
@@ -63,6 +65,8 @@
 
                     is ReadResult.Failed -> {
                         onContact(false)
+                        // What has gathered may be more than comes in time; the rows as they are now are less.
+                        if (++failures >= MOST_FAILURES) return
                         delay(RETRY_MILLIS)
                     }
 
@@ -76,5 +80,6 @@
 
     private companion object {
         const val RETRY_MILLIS = 150L
+        const val MOST_FAILURES = 3
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpConnection.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpConnection.kt
@@ -40,7 +40,10 @@
     /** Whether it is open. */
     val isOpen: Boolean get() = socket != null
 
-    /** Sends [call] and waits up to [timeoutMillis] for the whole answer. */
+    /**
+     * Sends [call] and waits up to [timeoutMillis] for the head of the answer. Its body may take longer, since a large one over a
+     * slow link is no sign of a dead connection, and would be asked for again and again.
+     */
     @Suppress("TooGenericExceptionCaught")
     suspend fun exchange(
         call: HttpCall,
@@ -52,9 +55,12 @@
         }
         var isWhole = false
         try {
-            val answer = withTimeoutOrNull(timeoutMillis) { send(call) }
+            val head = withTimeoutOrNull(timeoutMillis) { Head(sendAndReadHead(call)) }
+            if (head == null) return HttpOutcome.Unanswered("no answer in $timeoutMillis ms")
+            val response = head.response ?: return HttpOutcome.Unanswered("$host:$port closed the connection")
+            val answer = withTimeoutOrNull(BODY_TIMEOUT_MILLIS) { readBody(response) }
             isWhole = answer != null
-            return answer ?: HttpOutcome.Unanswered("no answer in $timeoutMillis ms")
+            return answer ?: HttpOutcome.Unanswered("no whole answer in $BODY_TIMEOUT_MILLIS ms after its head")
         } catch (e: Exception) {
             currentCoroutineContext().ensureActive()
             return HttpOutcome.Unanswered("$e")
@@ -82,14 +88,21 @@
             "no connection to $host:$port: $e"
         }
 
-    private suspend fun send(call: HttpCall): HttpOutcome {
+    // Null when the connection was closed before.
+    private class Head(
+        val response: Response?,
+    )
+
+    private suspend fun sendAndReadHead(call: HttpCall): Response? {
         val out = checkNotNull(output) { "connection to $host:$port is closed" }
         out.writeFully(head(call) + call.body)
         out.flush()
-        val reader = checkNotNull(input) { "connection to $host:$port is closed" }
-        val response = parseResponse(reader) ?: return closed()
+        return parseResponse(checkNotNull(input) { "connection to $host:$port is closed" })
+    }
+
+    private suspend fun readBody(response: Response): HttpOutcome {
         try {
-            val body = body(response, reader)
+            val body = body(response, checkNotNull(input) { "connection to $host:$port is closed" })
             val isLast = response.headers["Connection"]?.toString().equals("close", ignoreCase = true)
             // What follows a head that does not tell where the answer ends would be read by the next call.
             if (isLast || !hasKnownEnd(response)) close() else isProven = true
@@ -99,11 +112,6 @@
         }
     }
 
-    private fun closed(): HttpOutcome {
-        close()
-        return HttpOutcome.Unanswered("$host:$port closed the connection")
-    }
-
     private fun hasKnownEnd(response: Response): Boolean =
         response.headers["Content-Length"] != null ||
             response.headers["Transfer-Encoding"] != null ||
@@ -167,6 +175,9 @@
         const val CONNECT_TIMEOUT_MILLIS = 600L
         const val HEAD_CHARS = 256
 
+        // Some megabytes over the slowest links of 7 Mbit/s.
+        const val BODY_TIMEOUT_MILLIS = 5_000L
+
         // No content and not modified, RFC 9110, which end with their head.
         val bodiless = setOf(204, 304)
     }
