Let no job that waits for another cause than room end a pass

What callers could see: a hundred jobs that need a label which no worker has, or whose tasks must not share a worker, kept all jobs behind them from starting. Change: only jobs for which no worker has room count. Measured: LookaheadTest, two of its cases red before by the code as read; the failing run was not made. EngineIndexesTest and JobEngineFuzzTest are green.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -76,7 +76,7 @@
         private fun areRunsKnown(job: JobEntry) =
             areRunsKnown.getOrPut(job.queue.name) { earlierRuns.areKnown(job.queue, now) }
 
-        // False when a task has found no room.
+        // False when no worker has room for a task. Tasks that wait for another cause, such as a label, end no pass.
         private fun start(job: JobEntry): Boolean {
             val queueName = job.queue.name
             val teamName = job.record.teamName
@@ -89,7 +89,7 @@
                     seenByTeam.merge(teamName, step.room(step.readyCount), Amount::plus)
                     val pass = StepPass(step, recorded, limit, now, room)
                     pass.run()
-                    hasRoom = hasRoom && !pass.isShort
+                    hasRoom = hasRoom && !pass.isCrowdedOut
                 }
             }
             return hasRoom
@@ -116,13 +116,16 @@
         private val specification: StepSpecification = step.specification
         private val job = step.occurrence.job
 
-        /** Whether a task has found no room. */
-        var isShort = false
+        private var isShort = false
+
+        /** Whether no worker has room for a task of the step. */
+        var isCrowdedOut = false
             private set
 
         fun run() {
             val allowed = if (job.queue.advice == null) workers else advised() ?: return
             if (!room.mayFit(specification)) {
+                isCrowdedOut = true
                 want(step.readyCount)
                 return
             }
@@ -130,7 +133,8 @@
             val missing = if (specification.isGang) startGang(ready, allowed) else startEach(ready, allowed)
             if (missing == 0) return
             want(missing)
-            if (isShort && allowed.none { it.hasRoomFor(specification) }) room.refresh()
+            isCrowdedOut = isShort && allowed.none { it.hasRoomFor(specification) }
+            if (isCrowdedOut) room.refresh()
         }
 
         // A task that avoids the workers on which it failed does not hold up the others. Returns how many have to wait.
