A failed run of a task that is done says nothing about its job

Once in a while a job whose copies fail late could be shown as failed although the task was done.

Cause: an end "failed" was taken as news about its task whatever the state of the task. A job whose steps allow copies can have a run that fails after the other one is done. SuspectJobs then made the done task the only one of the job that may start, and since it never starts or ends again, nothing cleared the job. JobRegistry counted the attempt, so that the last one failed the job.

Evidence: RunOfDoneTaskFailsTest, red before in two of three cases (with suspicion: no start; with one attempt: the job has failed), green now.

The failure now counts against the worker only.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -114,17 +114,26 @@
                 done.forEach { finish(it, now) }
             }
 
-            EndKind.FAILED -> {
-                val isWorkersFault = suspectJobs.recordFailure(task, end.runId, worker, now)
-                if (isWorkersFault) health.recordFailure(worker, task, now) else task.failedWorkerIds += worker.id
-                registry.recordFailure(task, end.runId)
-                if (task.job.state.isFinal) stopAllRuns(task.job, now)
-            }
+            EndKind.FAILED -> fail(worker, task, end.runId, now)
 
             else -> state.markChanged(task.job)
         }
     }
 
+    private fun fail(
+        worker: WorkerEntry,
+        task: TaskEntry,
+        runId: Long,
+        now: Long,
+    ) {
+        // The task can succeed, so the failure says something about the worker only.
+        if (task.phase == TaskPhase.DONE) return health.recordFailure(worker, task, now)
+        val isWorkersFault = suspectJobs.recordFailure(task, runId, worker, now)
+        if (isWorkersFault) health.recordFailure(worker, task, now) else task.failedWorkerIds += worker.id
+        registry.recordFailure(task, runId)
+        if (task.job.state.isFinal) stopAllRuns(task.job, now)
+    }
+
     // The clock of an earlier owner may have been ahead: an occurrence that is not due on this machine may already have
     // run.
     private fun taskOf(
