Tell a write that the store never accepts from one that it refuses for now

StoreAnswerTest expected "refused" for 400 and 403; it now expects the new outcome with the quoted answer.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -12,6 +12,7 @@
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.owner.OwnerBroadcast
+import org.verbenagauge.entry.jobs.owner.OwnerLease
 import org.verbenagauge.entry.jobs.owner.OwnerPorts
 import org.verbenagauge.entry.jobs.owner.OwnerSettings
 import org.verbenagauge.entry.jobs.owner.Ownership
@@ -142,6 +143,15 @@
         ) {
             ownership.slowMachines().toDouble()
         }
+        metrics.gauge("verbenagauge_suspect_jobs", "Jobs of which the owner retries only one task at a time") {
+            ownership.suspectJobs().toDouble()
+        }
+        metrics.gauge("verbenagauge_owner_row_bytes", "Size of the owner's row, as last read by this entry") {
+            catalogue.owner
+                ?.record
+                ?.let { OwnerLease.encode(it).size }
+                ?.toDouble() ?: 0.0
+        }
         metrics.gauge("verbenagauge_configuration_version", "Version of the configuration in force at this entry") {
             calls.configuration?.version?.toDouble() ?: 0.0
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -481,6 +481,9 @@
     /** Number of machines that are suspected of being slow, failing or unstable. */
     val slowMachines: Int get() = health.machineMonitor?.suspectCount ?: 0
 
+    /** Number of jobs that are suspected of causing their own failures. */
+    val suspectJobs: Int get() = doubts.count
+
     /** Number of jobs without a started run, by queue name. */
     fun pendingByQueue(): Map<String, Int> = state.pending.byQueue()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SuspectJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SuspectJobs.kt
@@ -39,6 +39,9 @@
     /** Called with each job that becomes suspect, gets another task to retry, or is cleared. */
     var onSuspicionChanged: (JobEntry) -> Unit = {}
 
+    /** Number of jobs that are suspected of causing their own failures. */
+    val count: Int get() = suspects.count { !it.state.isFinal }
+
     /** Records that [task] completed on [worker]. */
     fun recordCompletion(
         task: TaskEntry,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
@@ -130,6 +130,7 @@
                 is TransactionOutcome.Conflict -> return CancelOutcome.Cancelled
                 is TransactionOutcome.Unknown -> cause = outcome.cause
                 is TransactionOutcome.Unavailable -> cause = outcome.cause
+                is TransactionOutcome.Rejected -> return CancelOutcome.Unsettled(outcome.cause)
             }
             delay(RETRY_MILLIS)
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobWriter.kt
@@ -73,6 +73,11 @@
                     cause = outcome.cause
                 }
 
+                is TransactionOutcome.Rejected -> {
+                    cause = outcome.cause
+                    return unsettled()
+                }
+
                 is TransactionOutcome.Unavailable -> {
                     cause = outcome.cause
                     if (++unavailableCount >= MAX_UNAVAILABLE_ANSWERS && (!mayBeStored || isRefused)) return unsettled()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -107,6 +107,7 @@
             is TransactionOutcome.Applied -> confirm(write, outcome.version, sentAtMillis)
             is TransactionOutcome.Conflict -> resolveConflict(write, outcome)
             is TransactionOutcome.Unavailable -> ChainOutcome.Unconfirmed(outcome.cause)
+            is TransactionOutcome.Rejected -> ChainOutcome.Unconfirmed(outcome.cause)
             is TransactionOutcome.Unknown -> ChainOutcome.Unconfirmed(outcome.cause)
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -60,6 +60,9 @@
     /** Number of machines that the engine considers slow; 0 while this entry is not the owner. */
     fun slowMachines(): Int = engine?.slowMachines ?: 0
 
+    /** Number of jobs suspected of causing their own failures; 0 while this entry is not the owner. */
+    fun suspectJobs(): Int = engine?.suspectJobs ?: 0
+
     /** Applies the configuration [newer]. */
     fun configure(newer: JobsConfiguration) {
         configuration = newer
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/RowStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/RowStore.kt
@@ -52,6 +52,11 @@
         val cause: String,
     ) : TransactionOutcome
 
+    /** The store never accepts these changes, because of [cause]; nothing took effect. */
+    public data class Rejected(
+        val cause: String,
+    ) : TransactionOutcome
+
     /** No answer, because of [cause]: the changes may take effect, now or later. */
     public data class Unknown(
         val cause: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
@@ -13,6 +13,7 @@
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
+import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.http.HttpCall
 import org.verbenagauge.http.HttpOutcome
 import java.util.Base64
@@ -57,12 +58,26 @@
             )
         val body = wireJson.encodeToString(WireTransaction.serializer(), transaction).encodeToByteArray()
         return when (val outcome = link.exchange(HttpCall("POST", "/v1/rows-tx", body = body), timeoutMillis)) {
-            is HttpOutcome.Answered -> readTransactionAnswer(outcome)
+            is HttpOutcome.Answered -> readTransactionAnswer(outcome).also { logRejection(it, changes, body.size) }
             is HttpOutcome.NotSent -> TransactionOutcome.Unavailable(outcome.cause)
             is HttpOutcome.Unanswered -> TransactionOutcome.Unknown(outcome.cause)
         }
     }
 
+    private fun logRejection(
+        outcome: TransactionOutcome,
+        changes: List<RowChange>,
+        callBytes: Int,
+    ) {
+        if (outcome !is TransactionOutcome.Rejected) return
+        val largest = changes.maxByOrNull { it.value?.size ?: 0 }
+        val row = largest?.let { ", the largest '${it.place.table}/${it.key}' with ${it.value?.size ?: 0} bytes" }
+        link.log.write(
+            Event.STORE_WRITE_REJECTED,
+            "${outcome.cause}; ${changes.size} rows in $callBytes bytes${row.orEmpty()}",
+        )
+    }
+
     override suspend fun read(
         place: RowPlace,
         key: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
@@ -10,8 +10,13 @@
 private const val GONE = 410
 private const val CONDITION_FAILED = 412
 
-// Statuses that say that nothing was done.
-private val refusals = setOf(400, 403, 429, 503, 507)
+// Statuses that say that nothing was done, and that the same call is refused again.
+private val rejections = setOf(400, 403, 413)
+
+// Statuses that say that nothing was done for now.
+private val refusals = setOf(429, 503, 507)
+
+private const val MAX_QUOTED_CHARACTERS = 200
 
 /** Reads the answer of the store to a transaction; one that is not clear tells no more than none. */
 internal fun readTransactionAnswer(answer: HttpOutcome.Answered): TransactionOutcome {
@@ -21,11 +26,14 @@
             decode(WireApplied.serializer(), answer.body)?.let { TransactionOutcome.Applied(it.rowVersion) }
                 ?: unclear
         CONDITION_FAILED -> conflict(answer.body) ?: unclear
+        in rejections -> TransactionOutcome.Rejected("status ${answer.status}: ${quote(answer.body)}")
         in refusals -> TransactionOutcome.Unavailable("status ${answer.status}")
         else -> unclear
     }
 }
 
+private fun quote(body: ByteArray): String = body.decodeToString().take(MAX_QUOTED_CHARACTERS)
+
 private fun conflict(body: ByteArray): TransactionOutcome.Conflict? {
     val rows = decode(WireConflict.serializer(), body)?.rows ?: return null
     if (rows.any { it.rowVersion == null }) return null
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
@@ -24,7 +24,7 @@
     private val address: HostPort,
     private val clock: Clock,
     private val scope: CoroutineScope,
-    private val log: EventLog,
+    val log: EventLog,
     private val metrics: JobMetrics,
 ) {
     private val pool = HttpPool(selector, address.host, address.port, clock)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/StoreAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/StoreAnswerTest.kt
@@ -23,6 +23,7 @@
         is TransactionOutcome.Applied -> "applied ${outcome.version}"
         is TransactionOutcome.Conflict -> "conflict ${outcome.rows.map { it.version }}"
         is TransactionOutcome.Unavailable -> "refused"
+        is TransactionOutcome.Rejected -> "rejected, ${outcome.cause}"
         is TransactionOutcome.Unknown -> "not known"
     }
 
@@ -60,8 +61,15 @@
                 StoreCase("refused for want of room", 507, "", "refused"),
                 StoreCase("refused as too many", 429, "", "refused"),
                 StoreCase("refused", 503, "", "refused"),
-                StoreCase("forbidden", 403, "", "refused"),
-                StoreCase("malformed", 400, "", "refused"),
+                StoreCase("forbidden", 403, "", "rejected, status 403: "),
+                StoreCase("malformed", 400, "value too long", "rejected, status 400: value too long"),
+                StoreCase(
+                    "malformed, with a long text",
+                    400,
+                    "x".repeat(999),
+                    "rejected, status 400: ${"x".repeat(200)}",
+                ),
+                StoreCase("too large", 413, "", "rejected, status 413: "),
                 StoreCase("a fault of the store", 500, "", "not known"),
                 StoreCase("a gateway without the store", 502, "", "not known"),
                 StoreCase("a gateway whose store is late", 504, "", "not known"),
