The owner's row names queues with work only and fits into the store

What callers saw: once a configuration had some thousand queues and one pool was full, nothing was stored any more: starts and ends stood still, the duty passed from one entry to the next, callers were refused for seconds by a report of load that no longer changed, and jobs ran twice.

Cause: PressureEstimator reported every queue of a full pool, busy or not. With 2,000 queues the owner's row passed the 64 KB that the store takes, was rejected, and was written again every 60 ms for as long as the pool stayed full. Long before that limit each entry read those kilobytes with every write of the owner.

Only queues that had work in the last ten seconds are reported, and what goes into the row is cut to a byte budget, the smallest figures first, so that neither configuration nor load can make it too long.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -10,7 +10,6 @@
 import org.verbenagauge.entry.jobs.engine.RosterChange
 import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.ports.RowChange
-import org.verbenagauge.entry.jobs.records.OwnerFigures
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.RosterRecord
@@ -90,7 +89,7 @@
     }
 
     private fun ownerFigures() =
-        OwnerFigures(engine.pendingByQueue(), engine.state.pressure.read(clock.monotonicMillis()))
+        fittingFigures(engine.pendingByQueue(), engine.state.pressure.read(clock.monotonicMillis()))
 
     private fun rosterRow(change: RosterChange): RowChange {
         val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/PressureEstimator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/PressureEstimator.kt
@@ -42,13 +42,17 @@
         var doneWork = 0.0
         var spanMillis = 0.0
         var arrivedWithin = 0.0
+        val activeAtMillis = HashMap<String, Long>()
         val expiredWork = doubleArrayOf(0.0, 0.0)
         val hasExpiries = booleanArrayOf(false, false)
     }
 
     private val pools = HashMap<String, PoolHistory>()
 
-    /** Records the figures at [now] and returns the load of the queues with an expected wait. */
+    /**
+     * Records the figures at [now] and returns the load of the queues with an expected wait that had work of late; a
+     * deployment may have thousands of other queues.
+     */
     public fun estimate(
         now: Long,
         usages: List<PoolUsage>,
@@ -65,7 +69,7 @@
             observe(pool, usage, backlogsByOwnQueue.values.flatten(), now)
             val rate = rate(pool, usage, now)
             if (!usage.isFull || rate <= 0) return@forEach
-            own.forEach { queue ->
+            own.filter { it.queueName in pool.activeAtMillis }.forEach { queue ->
                 val ahead = backlogsByOwnQueue.filterKeys { it.priority <= queue.priority }.values.flatten()
                 val pressure = pressure(pool, usage, rate, ahead, backlogsByOwnQueue.getValue(queue))
                 if (pressure.surplusWaitMillis >= MIN_REPORTED_WAIT_MILLIS) pressed[queue.queueName] = pressure
@@ -80,6 +84,8 @@
         backlogs: List<BacklogTotals>,
         now: Long,
     ) {
+        backlogs.filter { it.usefulWork > 0 }.forEach { pool.activeAtMillis[it.queueName] = now }
+        pool.activeAtMillis.values.removeIf { now - it > ACTIVE_MILLIS }
         val readAtMillis = pool.readAtMillis
         pool.readAtMillis = now
         // The backlog that a new owner inherits did not arrive at one time.
@@ -163,6 +169,9 @@
         // Work within shares arrives unevenly, so a short burst must not reduce the rate for surplus to zero.
         const val MIN_SURPLUS_RATE_DIVISOR = 10
 
+        // Refused jobs leave no work behind, so a queue is still reported for this time after its last work.
+        const val ACTIVE_MILLIS = 10_000L
+
         // Callers do not notice shorter waits.
         const val MIN_REPORTED_WAIT_MILLIS = 200L
     }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/MemoryRowStore.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/MemoryRowStore.kt
@@ -25,8 +25,15 @@
     CALL_LOST,
 }
 
-/** Row store in memory; each transaction takes its outcome from [faults], or [StoreFault.NONE] when that is empty. */
-internal class MemoryRowStore : RowStore {
+/**
+ * Row store in memory; each transaction takes its outcome from [faults], or [StoreFault.NONE] when that is empty.
+ * Transactions with a row above [maxRowBytes] are rejected.
+ */
+internal class MemoryRowStore(
+    private val maxRowBytes: Int = Int.MAX_VALUE,
+) : RowStore {
+    /** Keys of the rows in each rejected transaction. */
+    val rejectedKeys = ArrayList<List<String>>()
     val faults = ArrayDeque<StoreFault>()
     private val rows = LinkedHashMap<Pair<RowPlace, String>, StoredRow>()
     private var version = 0L
@@ -51,6 +58,10 @@
         expectations: List<RowExpectation>,
         changes: List<RowChange>,
     ): TransactionOutcome {
+        if (changes.any { (it.value?.size ?: 0) > maxRowBytes }) {
+            rejectedKeys += changes.map { it.key }
+            return TransactionOutcome.Rejected("value too long")
+        }
         val isMet = expectations.all { (rows[it.place to it.key]?.version ?: 0) == it.version }
         if (!isMet) return TransactionOutcome.Conflict(expectations.mapNotNull { rows[it.place to it.key] })
         version++
