A write that the store never accepts does not hold up the owner's other writes

What callers saw: one row that was too long, of whichever kind, stopped everything that the owner stores: no end was acknowledged, no state told, and the duty passed on to an entry that built the same row.

Cause: OwnerLease.settle repeated each write until it was stored, also one that the store rejects for good; a batch holds up to 95 rows, so that one of them held up all.

Evidence: RowTooLongTest, "the row of one job that is too long", red before (the lease was not valid after 200 ms), green now.

A rejected batch is split in halves until the part that is rejected stands alone; the lease is renewed by the parts that are stored. The progress of such a job is left out from then on, its state is still told. A rejected row of a worker means that the queue in question gets no task there.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -13,8 +13,11 @@
 
 /** Outcome of one attempt to write the owner's row. */
 internal sealed interface ChainOutcome {
+    /** An outcome that a retry of the same write cannot change. */
+    sealed interface Settled : ChainOutcome
+
     /** The write is stored. */
-    data object Stored : ChainOutcome
+    data object Stored : Settled
 
     /** Not known to be stored because of [cause]; the same write has to be retried. */
     data class Unconfirmed(
@@ -24,7 +27,12 @@
     /** Another entry is the owner; [to] is its row, or null when the row is missing or unreadable. */
     data class Lost(
         val to: OwnerRecord?,
-    ) : ChainOutcome
+    ) : Settled
+
+    /** The store never accepts the write, because of [cause]; ownership is not affected. */
+    data class Rejected(
+        val cause: String,
+    ) : Settled
 }
 
 /**
@@ -75,7 +83,7 @@
     /** Releases ownership, unless it is already lost or the store does not answer in time. */
     suspend fun release() {
         withTimeoutOrNull(RELEASE_MILLIS) {
-            if (hasPendingWrite && settle() != null) return@withTimeoutOrNull
+            if (hasPendingWrite && settle() is ChainOutcome.Lost) return@withTimeoutOrNull
             pending = PendingWrite(record.copy(entryId = "", sequence = record.sequence + 1), emptyList())
             settle()
         }
@@ -85,12 +93,11 @@
     fun isRenewalDue(renewIntervalMillis: Long): Boolean =
         clock.monotonicMillis() - confirmedSentAtMillis >= renewIntervalMillis
 
-    /** Retries the pending write until it is stored or ownership is lost; returns null when it is stored. */
-    suspend fun settle(): ChainOutcome.Lost? {
+    /** Retries the pending write until it is stored or rejected, or ownership is lost. */
+    suspend fun settle(): ChainOutcome.Settled {
         while (true) {
             when (val outcome = attempt(WRITE_TIMEOUT_MILLIS)) {
-                is ChainOutcome.Stored -> return null
-                is ChainOutcome.Lost -> return outcome
+                is ChainOutcome.Settled -> return outcome
                 is ChainOutcome.Unconfirmed -> delay(RETRY_MILLIS)
             }
         }
@@ -107,7 +114,7 @@
             is TransactionOutcome.Applied -> confirm(write, outcome.version, sentAtMillis)
             is TransactionOutcome.Conflict -> resolveConflict(write, outcome)
             is TransactionOutcome.Unavailable -> ChainOutcome.Unconfirmed(outcome.cause)
-            is TransactionOutcome.Rejected -> ChainOutcome.Unconfirmed(outcome.cause)
+            is TransactionOutcome.Rejected -> reject(outcome.cause)
             is TransactionOutcome.Unknown -> ChainOutcome.Unconfirmed(outcome.cause)
         }
     }
@@ -123,6 +130,11 @@
         return confirm(write, row.version, write.firstSentAtMillis ?: confirmedSentAtMillis)
     }
 
+    private fun reject(cause: String): ChainOutcome {
+        pending = null
+        return ChainOutcome.Rejected(cause)
+    }
+
     private fun confirm(
         write: PendingWrite,
         newVersion: Long,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLeaseRenewal.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLeaseRenewal.kt
@@ -17,8 +17,8 @@
             delay(CHECK_INTERVAL_MILLIS)
             if (!isNeeded() || !lease.isRenewalDue(settings.renewIntervalMillis)) continue
             lease.begin(emptyList(), OwnerFigures(lease.record.pendingByQueue))
-            val lost = lease.settle()
-            if (lost != null) return lost
+            val outcome = lease.settle()
+            if (outcome is ChainOutcome.Lost) return outcome
         }
         return null
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -10,6 +10,7 @@
 import org.verbenagauge.entry.jobs.engine.RosterChange
 import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.records.OwnerFigures
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.RosterRecord
@@ -27,6 +28,9 @@
     private val writtenStateNames = HashMap<String, String>()
     private var flushed = CompletableDeferred<Unit>()
 
+    // Jobs whose progress the store rejects; their state is still stored, since callers query it.
+    private val unstorableProgress = HashSet<String>()
+
     private val suspension = SuspensionDetector(clock)
     private var leaseInvalidatedAtMillis = Long.MIN_VALUE
 
@@ -77,10 +81,10 @@
         if (marks.isNotEmpty()) flushed = CompletableDeferred()
         val expired = cleaner.takeExpiredStateKeys(MAX_EXPIRED_STATES).map { RowChange(StoredTables.states, it, null) }
         val isRosterComplete = engine.isRosterComplete(clock.monotonicMillis())
-        lease.begin(roster.map(::rosterRow) + changes.flatMap(::jobRows) + expired, ownerFigures(), isRosterComplete)
-        val lost = lease.settle()
+        val parts = roster.map(::rosterPart) + changes.map(::jobPart) + WritePart(expired)
+        val lost = write(parts, ownerFigures(), isRosterComplete)
         if (lost != null) return lost
-        engine.state.roster.confirmStored(roster)
+        // Includes ends whose progress the store rejects: workers could not discard any later end otherwise.
         engine.markEndsStored(marks)
         changes.filter { it.state.isFinal }.forEach { cleaner.recordEnd(it.jobId, clock.wallMillis()) }
         if (marks.isNotEmpty()) waiters.complete(Unit)
@@ -88,20 +92,53 @@
         return null
     }
 
+    // Bisects a rejected write, so that one row that the store never accepts does not keep the others from being stored.
+    private suspend fun write(
+        parts: List<WritePart>,
+        figures: OwnerFigures,
+        isRosterComplete: Boolean,
+    ): ChainOutcome.Lost? {
+        lease.begin(parts.flatMap { it.rows }, figures, isRosterComplete)
+        when (val outcome = lease.settle()) {
+            is ChainOutcome.Lost -> return outcome
+            is ChainOutcome.Stored -> parts.forEach { it.onStored() }
+            is ChainOutcome.Rejected -> {
+                parts.singleOrNull()?.let { it.onRejected() }
+                if (parts.size < 2) return null
+                val (first, second) = parts.chunked((parts.size + 1) / 2)
+                // The row of the owner was accepted with its last figures.
+                val known = OwnerFigures(lease.record.pendingByQueue)
+                return write(first, known, isRosterComplete) ?: write(second, known, isRosterComplete)
+            }
+        }
+        return null
+    }
+
     private fun ownerFigures() =
         fittingFigures(engine.pendingByQueue(), engine.state.pressure.read(clock.monotonicMillis()))
 
-    private fun rosterRow(change: RosterChange): RowChange {
+    private fun rosterPart(change: RosterChange): WritePart {
         val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
-        return RowChange(StoredTables.roster, change.workerId, bytes)
+        val row = RowChange(StoredTables.roster, change.workerId, bytes)
+        return WritePart(listOf(row), onStored = { engine.state.roster.confirmStored(listOf(change)) })
+    }
+
+    private fun jobPart(change: JobChange): WritePart =
+        WritePart(jobRows(change), onRejected = { writeWithoutProgress(change.jobId) })
+
+    private fun writeWithoutProgress(jobId: String) {
+        if (!unstorableProgress.add(jobId)) return
+        writtenStateNames -= jobId
+        engine.state.jobs[jobId]?.let(engine.state::markChanged)
     }
 
     private fun jobRows(change: JobChange): List<RowChange> {
         val rows = ArrayList<RowChange>()
         val progress = change.progress
         if (progress == null) {
+            unstorableProgress -= change.jobId
             rows += RowChange(StoredTables.progress, change.jobId, null)
-        } else {
+        } else if (change.jobId !in unstorableProgress) {
             val bytes = RecordCodec.encode(ProgressRecord.serializer(), progress)
             rows += RowChange(StoredTables.progress, change.jobId, bytes)
         }
@@ -115,6 +152,18 @@
         return rows
     }
 
+    /**
+     * Rows that are stored together or not at all.
+     *
+     * @property onRejected called when the store never accepts these rows.
+     * @property onStored called when they are stored.
+     */
+    private class WritePart(
+        val rows: List<RowChange>,
+        val onStored: () -> Unit = {},
+        val onRejected: () -> Unit = {},
+    )
+
     private companion object {
         // Two rows per job, the expired state rows and the owner's row stay below the limit of 100 entries per
         // transaction.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowTooLongTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowTooLongTest.kt
@@ -4,10 +4,13 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.maps.shouldContainKey
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
@@ -25,6 +28,7 @@
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.records.OwnerRecord
+import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.load.LoadSettings
 
@@ -118,4 +122,34 @@
             val pressure = checkNotNull(engineOfManyQueues(waitingQueues = 0).state.pressure.read(START_MILLIS + 1_000))
             pressure.byQueue.keys shouldBe setOf(BUSY_QUEUE)
         }
+
+        test("the row of one job that is too long keeps no other row from being stored, and is not repeated") {
+            runTest {
+                val engine = JobEngine(epoch = 1, EngineLimits(), now = 0)
+                engine.configure(configuration())
+                val done = List(9_000) { "0.0.$it" }
+                engine.inherit("long", job(step(9_999)), ProgressRecord(doneTasks = done), 0, 0)
+                listOf(
+                    "before",
+                    "after",
+                ).forEach { engine.inherit(it, job(step(2)), ProgressRecord(listOf("0.0.0")), 0, 0) }
+                val rig = WriterRig(this, engine)
+                rig.start()
+                backgroundScope.launch { rig.writer.run { } }
+                repeat(20) {
+                    listOf("before", "long", "after").forEach { id ->
+                        engine.state.markChanged(engine.state.jobs.getValue(id))
+                    }
+                    rig.writer.wake()
+                    delay(200)
+                    rig.writer.isLeaseValid().shouldBeTrue()
+                }
+                listOf("before", "after").forEach { rig.store.row(StoredTables.progress, it) shouldNotBe null }
+                rig.store.row(StoredTables.states, StoredTables.stateKey("long")) shouldNotBe null
+                rig.store.rejectedKeys.filter {
+                    it.first() == "long" && "before" !in it && "after" !in it
+                } shouldHaveSize
+                    1
+            }
+        }
     })
