One failed run does not hold back the other tasks of a job

Cause: a job counted as hopeless after its first failed run if that worker had completed another job's task since another job failed there. A worker that fails a part of its runs is in that state half of the time, and the failure then was not held against the worker either, so that it went on failing runs.

A job is now suspect when it failed on a second worker that completes other jobs, or when one task failed twice; until then its failures count against the worker, as without the switch.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SuspectJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SuspectJobs.kt
@@ -6,7 +6,7 @@
 import org.verbenagauge.entry.load.RetryRule
 
 /**
- * Jobs that are suspected of causing their own failures, because a task of theirs fails on workers that complete other
+ * Jobs that are suspected of causing their own failures, because they fail on several workers that complete other
  * jobs. Of a suspect job only the task with the fewest attempts left is retried, within a bounded part of the capacity;
  * its success clears the job.
  */
@@ -70,6 +70,7 @@
         val failure =
             FailedRun(
                 failedRuns = failures,
+                failedWorkers = job.tasks().flatMapTo(hashSetOf(worker.id)) { it.failedWorkerIds }.size,
                 otherJobDoneAgoMillis = successesByWorker[worker.id]?.latestOfOtherJob(job.id)?.let { now - it },
                 otherJobFailedAgoMillis = failuresByWorker[worker.id]?.latestOfOtherJob(job.id)?.let { now - it },
             )
