A new owner waits for the workers of earlier owners only, not for machines that join the pool

Cause: inherited jobs wait until every worker that may hold runs of earlier owners has listed them. Every worker of the pool counted, also one on a machine that the new owner itself had just moved there. Nothing started, so the pool asked for more machines, and each of them had to start and answer before anything could start.

With a complete roster the workers with a row that an earlier owner stored are waited for. An owner stores the row before its first order to a worker and can store none after the takeover, so that no other worker holds its runs.

Seven tests that model a second owner gave it workers without such rows; their fixture now has the row, what they demand is unchanged.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -12,12 +12,14 @@
      * Whether all runs of earlier owners for [queue] are known. This holds once every worker that may hold one has
      * listed all of its runs and ends in this epoch, whether the platform lists the worker now or listed it when a run
      * was ordered there, or once every lease has expired.
+     *
+     * With a complete roster, these are the workers whose row an earlier owner stored before its first order there.
+     * Machines that join the pool after the takeover are not waited for, otherwise a growing pool would never be known.
      */
     fun areKnown(
         queue: QueueConfiguration,
         now: Long,
     ): Boolean {
-        // Workers that are added later are not in the roster of an earlier owner and hold none of its runs.
         if (queue.name in knownQueues) return true
         val unreported = state.workers.values.filter { mayHold(it, queue) && !it.hasReportedAll }
         // The leases of workers that answer are renewed and do not expire, so only their listings tell which runs
@@ -40,7 +42,10 @@
     private fun mayHold(
         worker: WorkerEntry,
         queue: QueueConfiguration,
-    ) = worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
+    ): Boolean {
+        if (state.isRosterKnown) return queue.name in state.roster.restoredQueuesOf(worker.id)
+        return worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
+    }
 
     /** Whether every lease that an earlier owner may have granted has expired. */
     fun haveLeasesExpired(now: Long): Boolean = haveLeasesExpiredSince(state.startedAtMillis, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -22,6 +22,7 @@
     private val changes = LinkedHashMap<String, RosterRecord?>()
     private val inFlight = HashMap<String, RosterRecord>()
     private val stored = HashMap<String, RosterRecord>()
+    private val restored = HashMap<String, RosterRecord>()
 
     /** Whether changes wait to be stored. */
     val hasChanges: Boolean get() = changes.isNotEmpty()
@@ -32,8 +33,12 @@
         record: RosterRecord,
     ) {
         stored[workerId] = record
+        restored[workerId] = record
     }
 
+    /** Returns the queues whose tasks an earlier owner may have ordered on the worker [workerId]. */
+    fun restoredQueuesOf(workerId: String): Set<String> = restored[workerId]?.queueNames.orEmpty()
+
     /** Requests the row that allows tasks of [queueName] on [worker]; returns whether it is stored already. */
     fun ensureRecorded(
         worker: WorkerEntry,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/DoubleRunAfterTakeoverTest.kt
@@ -20,7 +20,7 @@
     val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
     engine.configure(configuration())
     engine.state.isWorkerListKnown = true
-    workerIds.forEach { engine.addRecordedWorker(worker(it), now = 0) }
+    workerIds.forEach { engine.addInheritedWorker(worker(it), now = 0) }
     return engine
 }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EndsBeyondOnePageTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EndsBeyondOnePageTest.kt
@@ -39,7 +39,7 @@
             val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
             engine.configure(configuration())
             engine.state.isWorkerListKnown = true
-            engine.addRecordedWorker(worker("w1"), now = 0)
+            engine.addInheritedWorker(worker("w1"), now = 0)
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
             engine.handleListing("w1", listing(ended = fullPage, hasAllEnds = false), 0, 5)
             engine.decide(5, 0).starts().shouldBeEmpty()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EndsOfDroppedWorkersTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EndsOfDroppedWorkersTest.kt
@@ -18,7 +18,7 @@
     val engine = JobEngine(epoch, EngineLimits(), now = 0)
     engine.configure(configuration())
     engine.state.isWorkerListKnown = true
-    workerIds.forEach { engine.addRecordedWorker(worker(it), now = 0) }
+    workerIds.forEach { engine.addInheritedWorker(worker(it), now = 0) }
     return engine
 }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -17,6 +17,7 @@
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.ports.WorkerListing
 import org.verbenagauge.entry.jobs.records.JobRecord
+import org.verbenagauge.entry.jobs.records.RosterRecord
 
 internal const val QUEUE = "tallies"
 internal const val SERVICE = "hall"
@@ -130,6 +131,24 @@
     storeRoster()
 }
 
+/** Adds [worker] together with the row that an earlier owner stored before its first order there. */
+internal fun JobEngine.addInheritedWorker(
+    worker: ListedWorker,
+    now: Long,
+) {
+    val record =
+        RosterRecord(
+            serviceName = worker.serviceName,
+            host = worker.address.host,
+            port = worker.address.port,
+            bornUnixMillis = worker.bornUnixMillis,
+            machineId = worker.machineId,
+            queueNames = setOf(QUEUE),
+        )
+    restoreWorker(worker.address.workerId, record, now)
+    addRecordedWorker(worker, now)
+}
+
 /** Stores the pending roster changes, as the owner does before it orders a run on a worker. */
 internal fun JobEngine.storeRoster() {
     state.roster.confirmStored(state.roster.takeChanges(Int.MAX_VALUE))
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineNotesTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineNotesTest.kt
@@ -59,7 +59,11 @@
         }
 
         test("a new owner logs once which workers answered before it started inherited jobs") {
-            val engine = readyEngine("w1", "w2")
+            val engine = readyEngine()
+            listOf("w1", "w2").forEach {
+                engine.addInheritedWorker(worker(it), now = 0)
+                engine.handleListing(it, listing(), sentAtMillis = 0, now = 0)
+            }
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
             val note = engine.decide(0, 0).notes(NoteKind.RUNS_KNOWN).single()
             note.detail shouldContain "2 workers answered, unlisted none, incomplete none"
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineTest.kt
@@ -312,8 +312,8 @@
             val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
             engine.configure(configuration())
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
-            engine.addRecordedWorker(worker("w1"), now = 0)
-            engine.addRecordedWorker(worker("silent"), now = 0)
+            engine.addInheritedWorker(worker("w1"), now = 0)
+            engine.addInheritedWorker(worker("silent"), now = 0)
             engine.state.isWorkerListKnown = true
             engine.handleListing("w1", listing(), 1, 2)
             engine.decide(7_800, 0).starts().shouldBeEmpty()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/SilentAfterFirstListingTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/SilentAfterFirstListingTest.kt
@@ -19,7 +19,7 @@
             val engine = JobEngine(epoch = 2, EngineLimits(), now = 0)
             engine.configure(configuration())
             engine.state.isWorkerListKnown = true
-            listOf("w1", "w2").forEach { engine.addRecordedWorker(worker(it), now = 0) }
+            listOf("w1", "w2").forEach { engine.addInheritedWorker(worker(it), now = 0) }
             engine.inherit(JOB, job(step(1)), progress = null, acceptedAtMillis = 0, now = 0)
             val others = (1L..500L).map { end(it, TaskId("e%015x".format(it), 0, 0, 0), 7, EndKind.DONE) }
             engine.handleListing("w1", listing(ended = others, hasAllEnds = false), 0, 5)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/JobStoredDuringTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/JobStoredDuringTakeoverTest.kt
@@ -13,7 +13,7 @@
 import org.verbenagauge.entry.jobs.MemoryRowStore
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.engine.JobEngine
-import org.verbenagauge.entry.jobs.engine.addRecordedWorker
+import org.verbenagauge.entry.jobs.engine.addInheritedWorker
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
 import org.verbenagauge.entry.jobs.engine.listing
@@ -79,7 +79,7 @@
                     advanceTimeBy(case.loadMillis)
                     val follower = WorkFollower(StoreWithLaterJob(), engine, clock, WORK_READ_VERSION) { }
                     val running = backgroundScope.launch { follower.run() }
-                    listOf("w1", "w2").forEach { engine.addRecordedWorker(worker(it), clock.monotonicMillis()) }
+                    listOf("w1", "w2").forEach { engine.addInheritedWorker(worker(it), clock.monotonicMillis()) }
                     engine.handleListing("w2", listing(), clock.monotonicMillis(), clock.monotonicMillis())
                     advanceTimeBy(50)
                     running.cancel()
