Jobs that wait for earlier runs to be known count as demand of their pool

What callers saw: in the two seconds after the same takeover 139 machines went to standby and none to the pool of the queue whose burst had begun; it grew only with jobs that came after the takeover.

Cause: a pass skipped jobs whose earlier runs are not known yet without recording what they need, so that for the planner of moves the pool had no demand and its machines were idle.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -84,7 +84,10 @@
             val deferredRetries = ArrayList<Rank>()
             for (rank in ready.inOrder(serviceName, now)) {
                 val job = rank.job
-                if (job.mayHaveEarlierRuns && !areRunsKnown(job)) continue
+                if (job.mayHaveEarlierRuns && !areRunsKnown(job)) {
+                    recordWaiting(job)
+                    continue
+                }
                 if (job.retry != null && !mayRetry(job)) {
                     deferredRetries += rank
                     continue
@@ -96,6 +99,14 @@
             if (blockedJobs == 0) deferredRetries.forEach { start(it.job, isSurplus = it.surplusAccount != null) }
         }
 
+        // Its tasks may start in a moment, so the pool has to keep its machines and grow for them now.
+        private fun recordWaiting(job: JobEntry) {
+            val limit = configuration.teams[job.record.teamName]?.limit
+            job.open.values.flatMap { it.steps }.filter { it.readyCount > 0 }.forEach { step ->
+                StepPass(step, workers, limit, now, FreeCapacity(workers)).recordMissing(step.readyCount)
+            }
+        }
+
         private fun mayRetry(job: JobEntry): Boolean {
             if (job.retry?.phase != TaskPhase.READY) return false
             mayRetry = mayRetry && doubts.hasRetryCapacity(serviceName, workers)
@@ -203,7 +214,7 @@
         }
 
         // A team at its limit could not use more capacity, so nothing is recorded for it.
-        private fun recordMissing(tasks: Int) {
+        fun recordMissing(tasks: Int) {
             if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return
             lacksCapacity = true
             recordMissing(job.queue.serviceName, MissingCapacity(step.room(tasks), requiredWorkers()))
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/PoolGrowsAfterTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/PoolGrowsAfterTakeoverTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.model.TaskId
 
 private const val JOB = "0000000000000001"
@@ -39,4 +40,12 @@
             engine.handleListing("w1", listing(listOf(found)), 600, 610)
             engine.decide(610, 0).starts() shouldHaveSize 3
         }
+
+        test("while earlier runs are not known, the tasks of inherited jobs count as waiting for capacity") {
+            val engine = secondOwner()
+            engine.decide(100, 0).starts().shouldBeEmpty()
+            engine.state.missingRoomByService[SERVICE]
+                ?.amount
+                ?.cpuMillis shouldBe 4_000
+        }
     })
