A run that its restarted worker calls old is not given up before its end is listed

What callers would see: a task that is done runs once more (START_AFTER_DONE).

Cause: an order was repeated while its worker fell silent and restarted. A late copy of it ran and was done; the next copy was refused as old, which made the run count as running, and the leases of a silent worker are told by the clock of its earlier incarnation. So they were over at once, the run was given up and its task started elsewhere.

Such a run now stays until the worker lists its end or leaves the platform's list.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -257,6 +257,9 @@
 
     /** Whether some start order for this run got no answer, so that the worker may still carry it out late. */
     var isUncertain = false
+
+    /** Whether its worker has refused a repeated order for it as old, so that only the worker knows how it ended. */
+    var hasUnlistedEnd = false
     var percent = 0
 
     /** Whether it resumed from a checkpoint, so that its duration is not that of the whole task. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -450,7 +450,7 @@
             if (worker.bornUnixMillis == 0L) return@forEach dropUnanswering(worker, now)
             if (!worker.haveLeasesExpired(now, limits)) return@forEach
             worker.runs.values
-                .filter { !worker.isListed || !mayStillStart(it) }
+                .filter { !worker.isListed || !mayStillStart(it) && !mayBeDone(it) }
                 .forEach {
                     val evidence = "its lease has expired, last answer ${now - worker.lastAnswerMillis} ms ago"
                     state.note(
@@ -478,6 +478,9 @@
     // An order in flight may reach a later incarnation with the same ID, whose clock has started again.
     private fun mayStillStart(run: Run) = run.phase == RunPhase.STARTING && run.isUncertain
 
+    // Its end may be listed by a later incarnation, whose clock has started again, so an expired lease proves nothing.
+    private fun mayBeDone(run: Run) = run.isUncertain && run.hasUnlistedEnd
+
     /** Number of machines that are suspected of being slow, failing or unstable. */
     val slowMachines: Int get() = health.machineMonitor?.suspectCount ?: 0
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
@@ -90,7 +90,11 @@
         if (refusal == StartRefusal.TICKET) runs.taskOf(run.taskId)?.step?.tickets = null
         when {
             // The run started and has ended, which the next listing shows, or it was stopped before the order arrived.
-            refusal == StartRefusal.OLD_RUN -> confirm(run, now)
+            refusal == StartRefusal.OLD_RUN -> {
+                run.hasUnlistedEnd = true
+                confirm(run, now)
+            }
+
             refusal == StartRefusal.OTHER_LIFE -> workers.drop(worker, "another worker answers at its address", now)
             // A listing has shown the run, so the refusal of a repeated order does not matter.
             run.phase == RunPhase.RUNNING -> Unit
