Split what a step that waits records from its pass, and what two tests of hopeless jobs share

No change of behaviour: recordMissing and requiredWorkers stand beside the pass over a service, so that jobs whose earlier runs are not known need no pass of their own; the two tests set up the failures on two workers in one place.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -54,6 +54,25 @@
         state.missingRoomByService.merge(serviceName, missing, MissingCapacity::plus)
     }
 
+    // A team at its limit could not use more capacity, so nothing is recorded for it. Returns whether it is recorded.
+    private fun recordMissing(
+        step: StepEntry,
+        tasks: Int,
+        limit: Amount?,
+    ): Boolean {
+        val job = step.occurrence.job
+        if (!state.quota.allows(job.record.teamName, step.specification.amount, limit)) return false
+        recordMissing(job.queue.serviceName, MissingCapacity(step.room(tasks), requiredWorkers(step)))
+        return true
+    }
+
+    // Tasks that must not share a worker need a minimum number of workers, however small they are; 0 if any number
+    // will do.
+    private fun requiredWorkers(step: StepEntry): Int {
+        val perWorker = step.specification.maxPerWorker
+        return if (perWorker == 0) 0 else (step.tasks.size + perWorker - 1) / perWorker
+    }
+
     private fun availableWorkers(serviceName: String) =
         state.workersOf(serviceName).filter {
             it.isSchedulable &&
@@ -103,7 +122,7 @@
         private fun recordWaiting(job: JobEntry) {
             val limit = configuration.teams[job.record.teamName]?.limit
             job.open.values.flatMap { it.steps }.filter { it.readyCount > 0 }.forEach { step ->
-                StepPass(step, workers, limit, now, FreeCapacity(workers)).recordMissing(step.readyCount)
+                recordMissing(step, step.readyCount, limit)
             }
         }
 
@@ -213,18 +232,8 @@
             return ready.size - started
         }
 
-        // A team at its limit could not use more capacity, so nothing is recorded for it.
-        fun recordMissing(tasks: Int) {
-            if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return
-            lacksCapacity = true
-            recordMissing(job.queue.serviceName, MissingCapacity(step.room(tasks), requiredWorkers()))
-        }
-
-        // Tasks that must not share a worker need a minimum number of workers, however small they are; 0 if any number
-        // will do.
-        private fun requiredWorkers(): Int {
-            val perWorker = specification.maxPerWorker
-            return if (perWorker == 0) 0 else (step.tasks.size + perWorker - 1) / perWorker
+        private fun recordMissing(tasks: Int) {
+            if (recordMissing(step, tasks, limit)) lacksCapacity = true
         }
 
         private fun start(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -155,8 +155,8 @@
     /**
      * Rows that are stored together or not at all.
      *
-     * @property onRejected called when the store never accepts these rows.
-     * @property onStored called when they are stored.
+     * @property onStored called when the rows are stored.
+     * @property onRejected called when the store never accepts them.
      */
     private class WritePart(
         val rows: List<RowChange>,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/FailingTaskRule.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/FailingTaskRule.kt
@@ -31,8 +31,9 @@
 
 /**
  * Blames the task if its job failed on a second worker, and that worker completes tasks of other jobs, or if the task
- * itself failed for the second time. One failure is no evidence, since a worker may fail a part of its runs. Guards against large numbers of jobs that can never succeed, of which every task would otherwise run until one of
- * them has used up its attempts.
+ * itself failed for the second time. One failure is no evidence, since a worker may fail a part of its runs. Guards
+ * against large numbers of jobs that can never succeed, of which every task would otherwise run until one of them has
+ * used up its attempts.
  */
 public object FailingTaskRule : RetryRule {
     /** Maximum share of a pool for the retries of all such tasks together; each job retries one task at a time. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/HopelessJobsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/HopelessJobsTest.kt
@@ -104,6 +104,25 @@
         )
     }
 
+    /**
+     * Runs a job of [tasks] tasks beside another job on "w1" and "w2", which completes there before one task of the
+     * first job fails on each; returns these two tasks and one that still runs.
+     */
+    fun failOnTwoWorkers(
+        jobId: String,
+        tasks: Int,
+    ): List<String> {
+        engine.accept("other", job(step(2, maxPerWorker = 1)), now = 0)
+        decide(0) shouldBe listOf("other.0.0.0", "other.0.0.1")
+        engine.accept(jobId, job(step(tasks)), now = 10)
+        val started = decide(10)
+        started shouldHaveSize 6
+        listOf("other.0.0.0", "other.0.0.1").forEach { end(it, EndKind.DONE, 500) }
+        val failed = listOf("w1", "w2").map { worker -> started.first { workerOf(it) == worker } }
+        failed.forEachIndexed { index, task -> end(task, EndKind.FAILED, 600L + index * 10) }
+        return failed + started.first { it !in failed }
+    }
+
     fun stateOf(jobId: String) =
         engine.state
             .takeChanges(Int.MAX_VALUE)
@@ -141,16 +160,7 @@
             "of a job that fails on two workers with successful work one task is retried; its third failure fails the job",
         ) {
             val pool = Pool(hopelessWorkEnabled, "w1", "w2", "w3", "w4")
-            pool.engine.accept("other", job(step(2, maxPerWorker = 1)), now = 0)
-            pool.decide(0) shouldBe listOf("other.0.0.0", "other.0.0.1")
-            pool.engine.accept("poison", job(step(6)), now = 10)
-            val started = pool.decide(10)
-            started shouldHaveSize 6
-            listOf("other.0.0.0", "other.0.0.1").forEach { pool.end(it, EndKind.DONE, 500) }
-            val first = started.first { pool.workerOf(it) == "w1" }
-            val second = started.first { pool.workerOf(it) == "w2" }
-            pool.end(first, EndKind.FAILED, 600)
-            pool.end(second, EndKind.FAILED, 610)
+            val second = pool.failOnTwoWorkers("poison", tasks = 6)[1]
             pool.decide(620) shouldBe listOf(second)
             pool.end(second, EndKind.FAILED, 1_100)
             pool.decide(1_100) shouldBe listOf(second)
@@ -160,17 +170,8 @@
 
         test("when the failed task succeeds, the other tasks of the job start again") {
             val pool = Pool(hopelessWorkEnabled, "w1", "w2")
-            pool.engine.accept("other", job(step(2, maxPerWorker = 1)), now = 0)
-            pool.decide(0)
-            pool.engine.accept("unlucky", job(step(9)), now = 10)
-            val started = pool.decide(10)
-            started shouldHaveSize 6
-            listOf("other.0.0.0", "other.0.0.1").forEach { pool.end(it, EndKind.DONE, 500) }
-            val first = started.first { pool.workerOf(it) == "w1" }
-            val second = started.first { pool.workerOf(it) == "w2" }
-            pool.end(first, EndKind.FAILED, 600)
-            pool.end(second, EndKind.FAILED, 610)
-            pool.end(started.first { it != first && it != second }, EndKind.DONE, 650)
+            val (first, second, third) = pool.failOnTwoWorkers("unlucky", tasks = 9)
+            pool.end(third, EndKind.DONE, 650)
             pool.decide(700) shouldBe listOf(second)
             pool.end(second, EndKind.DONE, 1_200)
             pool.decide(1_200) shouldBe listOf(first, "unlucky.0.0.6", "unlucky.0.0.7", "unlucky.0.0.8").sorted()
