Work that waits for earlier runs to be known does not make its pool full

Cause, a fault of: jobs that wait for earlier runs were recorded as missing room, so that the pool counted as full while its workers were free, their expiry counted as want of room, and from then on every job of the queue had to be on time to be accepted.

The need is now kept apart: the planner of moves adds it, admission does not see it. PoolGrowsAfterTakeoverTest demands both.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -32,6 +32,12 @@
     /** Room that tasks wait for, and nothing else, by service, as of the last scheduling. */
     val missingRoomByService = HashMap<String, MissingCapacity>()
 
+    /**
+     * Room of the tasks that wait until the runs of earlier owners are known, by service, as of the last scheduling.
+     * Their pools are not full, so it does not count as missing.
+     */
+    val unsettledRoomByService = HashMap<String, MissingCapacity>()
+
     /**
      * Workers whose machine was shut down, with the start time of that incarnation (null if unknown), until the
      * platform no longer lists them.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -23,6 +23,7 @@
     fun schedule(now: Long) {
         val configuration = state.configuration ?: return
         state.missingRoomByService.clear()
+        state.unsettledRoomByService.clear()
         ready.services.forEach { ServicePass(it, configuration, now).run() }
     }
 
@@ -55,14 +56,16 @@
     }
 
     // A team at its limit could not use more capacity, so nothing is recorded for it. Returns whether it is recorded.
-    private fun recordMissing(
+    private fun recordNeed(
+        roomByService: MutableMap<String, MissingCapacity>,
         step: StepEntry,
         tasks: Int,
         limit: Amount?,
     ): Boolean {
         val job = step.occurrence.job
         if (!state.quota.allows(job.record.teamName, step.specification.amount, limit)) return false
-        recordMissing(job.queue.serviceName, MissingCapacity(step.room(tasks), requiredWorkers(step)))
+        val need = MissingCapacity(step.room(tasks), requiredWorkers(step))
+        roomByService.merge(job.queue.serviceName, need, MissingCapacity::plus)
         return true
     }
 
@@ -122,7 +125,7 @@
         private fun recordWaiting(job: JobEntry) {
             val limit = configuration.teams[job.record.teamName]?.limit
             job.open.values.flatMap { it.steps }.filter { it.readyCount > 0 }.forEach { step ->
-                recordMissing(step, step.readyCount, limit)
+                recordNeed(state.unsettledRoomByService, step, step.readyCount, limit)
             }
         }
 
@@ -233,7 +236,7 @@
         }
 
         private fun recordMissing(tasks: Int) {
-            if (recordMissing(step, tasks, limit)) lacksCapacity = true
+            if (recordNeed(state.missingRoomByService, step, tasks, limit)) lacksCapacity = true
         }
 
         private fun start(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -101,7 +101,9 @@
         val workers = state.workersOf(pool)
         val capacity = workers.firstOrNull()?.listed?.capacity ?: fallbackCapacity()
         val used = workers.fold(Amount()) { sum, worker -> sum + (worker.listed.capacity - worker.free) }
-        val missing = state.missingRoomByService[pool] ?: MissingCapacity()
+        val missing =
+            (state.missingRoomByService[pool] ?: MissingCapacity()) +
+                (state.unsettledRoomByService[pool] ?: MissingCapacity())
         val demand = PoolDemand(pool, used, missing.amount, capacity, missing.workers)
         val wanted = sizer.size(demand, now)
         val open = workers.filter { !state.evacuatedZones.includes(it) }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/PoolGrowsAfterTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/PoolGrowsAfterTakeoverTest.kt
@@ -41,11 +41,12 @@
             engine.decide(610, 0).starts() shouldHaveSize 3
         }
 
-        test("while earlier runs are not known, the tasks of inherited jobs count as waiting for capacity") {
+        test("while earlier runs are not known, inherited tasks are demand of their pool, which is not full for them") {
             val engine = secondOwner()
             engine.decide(100, 0).starts().shouldBeEmpty()
-            engine.state.missingRoomByService[SERVICE]
+            engine.state.unsettledRoomByService[SERVICE]
                 ?.amount
                 ?.cpuMillis shouldBe 4_000
+            engine.state.missingRoomByService[SERVICE] shouldBe null
         }
     })
