--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -27,6 +27,9 @@
 
     /** Time before which every accepted job has been read. */
     var jobsReadAsOfMillis = startedAtMillis
+
+    /** Time of the last answer to the reading of accepted jobs. */
+    var jobsHeardAtMillis = startedAtMillis
     val runTimes: RunTimes = runTimes(limits.load)
 
     /** Room that tasks wait for, and nothing else, by service, as of the last scheduling. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
@@ -129,7 +129,12 @@
     }
 
     /** Returns the number of accepted jobs of the queue without a started task. */
-    public fun pending(admitted: Admittance.Granted): Int = front.pending(admitted.queue.name)
+    public fun pending(admitted: Admittance.Granted): Int {
+        val startedMillis = clock.monotonicMillis()
+        val pending = front.pending(admitted.queue.name)
+        recordAnswer("count", admitted, pending, startedMillis)
+        return pending.count ?: 0
+    }
 
     private fun recordAnswer(
         call: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -74,6 +74,7 @@
                 sequence = record.sequence + 1,
                 pendingByQueue = figures.pendingByQueue,
                 pressure = figures.pressure,
+                pendingAgeMillis = figures.pendingAgeMillis,
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = record.keepsRoster || isRosterComplete,
             )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -114,8 +114,11 @@
         return null
     }
 
-    private fun ownerFigures() =
-        fittingFigures(engine.pendingByQueue(), engine.state.pressure.read(clock.monotonicMillis()))
+    private fun ownerFigures(): OwnerFigures {
+        val now = clock.monotonicMillis()
+        return fittingFigures(engine.pendingByQueue(), engine.state.pressure.read(now))
+            .copy(pendingAgeMillis = now - engine.state.jobsHeardAtMillis)
+    }
 
     private fun rosterPart(change: RosterChange): WritePart {
         val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
@@ -38,8 +38,12 @@
     // contains everything stored before its call was sent, and the call was sent after the previous one had ended.
     private fun recordContact(isAnswered: Boolean) {
         engine.markJobsRead(appliedAsOfMillis)
-        if (isAnswered) appliedAsOfMillis = callSentAtMillis
-        callSentAtMillis = clock.monotonicMillis()
+        val now = clock.monotonicMillis()
+        if (isAnswered) {
+            appliedAsOfMillis = callSentAtMillis
+            engine.state.jobsHeardAtMillis = now
+        }
+        callSentAtMillis = now
     }
 
     private fun applyRows(batch: RowBatch) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -71,6 +71,8 @@
  * @property keepsRoster whether every worker that may hold runs has a row; releases without a roster do not write this
  * field.
  * @property pressure load pressure on the queues; null when not reported.
+ * @property pendingAgeMillis age of [pendingByQueue] when the record was written, on the owner's monotonic clock; null
+ * when the owner has not counted, as while it takes over and repeats the counts of the owner before it.
  */
 @Serializable
 public data class OwnerRecord(
@@ -81,6 +83,7 @@
     val writtenUnixMillis: Long = 0,
     val keepsRoster: Boolean = false,
     val pressure: LoadPressure? = null,
+    val pendingAgeMillis: Long? = null,
 )
 
 /**
@@ -88,10 +91,12 @@
  *
  * @property pendingByQueue number of accepted jobs without a started task, by queue.
  * @property pressure load pressure on the queues; null when not reported.
+ * @property pendingAgeMillis age of [pendingByQueue] in milliseconds; null when this owner has not counted.
  */
 public data class OwnerFigures(
     val pendingByQueue: Map<String, Int> = emptyMap(),
     val pressure: LoadPressure? = null,
+    val pendingAgeMillis: Long? = null,
 )
 
 /**
