--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobAdmissionTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobAdmissionTest.kt
@@ -3,25 +3,15 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
 import org.verbenagauge.entry.clock.Clock
-import org.verbenagauge.entry.jobs.MemoryRowStore
 import org.verbenagauge.entry.jobs.engine.QUEUE
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
 import org.verbenagauge.entry.jobs.engine.step
-import org.verbenagauge.entry.jobs.owner.OwnerLease
-import org.verbenagauge.entry.jobs.owner.StoredTables
-import org.verbenagauge.entry.jobs.ports.ReadResult
-import org.verbenagauge.entry.jobs.ports.RowBatch
-import org.verbenagauge.entry.jobs.ports.RowChange
-import org.verbenagauge.entry.jobs.ports.RowFeed
-import org.verbenagauge.entry.jobs.ports.RowPlace
-import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.load.AdmissionDecision
@@ -30,36 +20,6 @@
 
 private val pressure = LoadPressure(mapOf(QUEUE to QueuePressure(60_000, 60_000)), ageMillis = 100)
 
-/** A store whose feed answers every 100 ms with the owner's row, unless the store is unavailable. */
-private class FollowedStore(
-    val rows: MemoryRowStore = MemoryRowStore(),
-) : RowStore by rows {
-    var isUnavailable = false
-
-    override fun feed(table: String): RowFeed =
-        object : RowFeed {
-            override suspend fun changesAfter(
-                version: Long,
-                waitMillis: Long,
-            ): ReadResult<RowBatch> {
-                delay(100)
-                if (isUnavailable) return ReadResult.Failed("unavailable")
-                val all = rows.readAll(listOf(StoredTables.states)) as ReadResult.Read
-                return ReadResult.Read(RowBatch(all.value.rows.filter { it.version > version }, all.value.version))
-            }
-
-            override fun close() = Unit
-        }
-
-    override suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch> =
-        if (isUnavailable) ReadResult.Failed("unavailable") else rows.readAll(places)
-
-    suspend fun storeOwner(record: OwnerRecord) {
-        val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, OwnerLease.encode(record))
-        rows.transact(emptyList(), listOf(row), 100)
-    }
-}
-
 private class Simulation(
     scope: TestScope,
     val store: FollowedStore,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
@@ -2,9 +2,11 @@
 
 import kotlinx.coroutines.launch
 import org.verbenagauge.entry.jobs.engine.EngineLimits
+import org.verbenagauge.entry.jobs.engine.QUEUE
 import org.verbenagauge.entry.jobs.front.CancelOutcome
 import org.verbenagauge.entry.jobs.front.JobFront
 import org.verbenagauge.entry.jobs.front.JobLookup
+import org.verbenagauge.entry.jobs.front.PendingCount
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.front.SubmitOutcome
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
@@ -108,8 +110,11 @@
         )
     }
 
-    private fun isUndisturbed(process: VirtualProcess): Boolean {
-        val since = env.time.nowMillis - UNDISTURBED_MILLIS
+    private fun isUndisturbed(
+        process: VirtualProcess,
+        forMillis: Long = UNDISTURBED_MILLIS,
+    ): Boolean {
+        val since = env.time.nowMillis - forMillis
         return process.undisturbedSinceMillis < since && env.storeFaults.undisturbedSinceMillis < since
     }
 
@@ -186,6 +191,13 @@
         call(onOutcome) { front -> front.cancel(jobId, front.deadline(waitMillis)) }
     }
 
+    /** Returns the answer to a count of the waiting jobs; null if the process has been disturbed lately. */
+    fun count(): PendingCount? {
+        val asked = running ?: return null
+        val isInTouch = isUndisturbed(asked.process, CONTACT_MILLIS)
+        return if (isInTouch) asked.front.pending(QUEUE) else null
+    }
+
     private fun <T> call(
         onOutcome: (T) -> Unit,
         action: suspend (JobFront) -> T,
@@ -207,6 +219,7 @@
 
     private companion object {
         const val UNDISTURBED_MILLIS = 5_000L
+        const val CONTACT_MILLIS = 4_000L
         const val WAIT_SHARE = 0.8
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverOracle.kt
@@ -38,6 +38,9 @@
     /** An accepted job is not done by the end of the recovery phase, in which no new faults are injected. */
     NEVER_DONE,
 
+    /** An entry gives as waiting under half of the jobs that have waited for long. */
+    COUNT,
+
     /** A coroutine of an entry failed with an exception. */
     FAILURE,
 }
@@ -113,6 +116,7 @@
         val record: JobRecord,
     ) {
         var isAccepted = false
+        var acceptedAtMillis = 0L
         var refusedAttempts = 0
         var attempts = 0
         var cancelSentAtMillis: Long? = null
@@ -166,7 +170,9 @@
 
     /** Records the answer that the job [id] is accepted. */
     fun submissionAccepted(id: String) {
-        jobs.getValue(id).isAccepted = true
+        val job = jobs.getValue(id)
+        job.isAccepted = true
+        job.acceptedAtMillis = time.nowMillis
     }
 
     /** Whether a caller received the answer that the job [id] is accepted. */
@@ -344,6 +350,23 @@
     ) = job.record.specification.steps.indices
         .flatMap { tasksOf(id, job, it) }
 
+    /** Checks that [entryId] says that [count] jobs wait, or that it does not know if [count] is null. */
+    fun countTold(
+        entryId: String,
+        count: Int?,
+    ) {
+        val acceptedBefore = time.nowMillis - COUNT_GRACE_MILLIS
+        val waiting =
+            jobs.filterValues { job ->
+                job.isAccepted &&
+                    job.acceptedAtMillis < acceptedBefore &&
+                    job.cancelSentAtMillis == null &&
+                    job.starts.isEmpty()
+            }
+        if (count == null || count * 2 >= waiting.size) return
+        report(Breach.COUNT, waiting.keys.first(), "waits with ${waiting.keys}, but $entryId says that $count wait")
+    }
+
     /** Returns the tasks of accepted jobs that are not done yet, except those of cancelled and failed jobs. */
     fun unfinished(): List<TaskId> =
         jobs
@@ -364,5 +387,8 @@
 
     private companion object {
         const val CANCEL_GRACE_MILLIS = 3_000L
+
+        // Time in which an accepted job becomes visible, and the age that a count may have.
+        const val COUNT_GRACE_MILLIS = 3_000L + 2_000L
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverSimulation.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverSimulation.kt
@@ -75,12 +75,19 @@
         createdJobs = jobs
         repeat(jobs) { number -> time.after(planRandom.nextLong(500, FAULT_PHASE_MILLIS)) { submitJob(number) } }
         scheduleFaults()
+        time.after(COUNT_INTERVAL_MILLIS, ::checkCounts)
         time.after(FAULT_PHASE_MILLIS, ::endFaults)
         time.run(FAULT_PHASE_MILLIS + RECOVERY_MILLIS) { oracle.violations.isNotEmpty() || areFaultsOver && isDone() }
         if (oracle.violations.isEmpty()) oracle.reportUnfinished()
         return oracle.violations
     }
 
+    // Reads memory only, so that the other events of a seed stay as they are.
+    private fun checkCounts() {
+        entries.forEach { entry -> entry.count()?.let { oracle.countTold(entry.id, it.count) } }
+        time.after(COUNT_INTERVAL_MILLIS, ::checkCounts)
+    }
+
     private var faultsEndedAtMillis = 0L
 
     private fun isDone() =
@@ -292,6 +299,7 @@
     private companion object {
         const val SEED_FACTOR = 1_000_003L
         const val SETTLE_MILLIS = 9_000L
+        const val COUNT_INTERVAL_MILLIS = 250L
         const val MAX_RESTART_MILLIS = 500L
         const val NON_OWNER_ONE_IN = 5
         const val MAX_EXTRA_JOBS = 4
