A job counts as waiting until a worker has shown a run of it

An order to start was taken for a start: RunTracker.add marked the job as started, and it stayed so when the order was refused, lost or not sent, or when its gang did not fit; the state 'active' and an empty progress row were stored with the order as well, so that the next owner took the job for started, too. Now the answer of a worker, a listing or a listed end marks the start, and the progress row says so. What is not known to have started counts as waiting.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -112,7 +112,7 @@
         readyChange: Int,
     )
 
-    /** Called when the first run of [job] was ordered or discovered. */
+    /** Called when a worker has shown the first run of [job]. */
     fun started(job: JobEntry)
 }
 
@@ -159,7 +159,7 @@
     /** The only task that is retried while the job is suspected of being hopeless; null if it is not suspected. */
     var retry: TaskEntry? = null
 
-    /** Whether a run was ever ordered; stays true when the job waits again. */
+    /** Whether a worker has ever shown a run; stays true when the job waits again. */
     var hasStarted = false
         set(value) {
             if (value && !field) listener?.started(this)
@@ -218,7 +218,7 @@
             if (task.failedRuns.isNotEmpty() && task.phase != TaskPhase.DONE) failed[key] = task.failedRuns.toList()
             if (task.checkpoint.isNotEmpty() && task.phase != TaskPhase.DONE) checkpoints[key] = task.checkpoint
         }
-        return ProgressRecord(done, failed, checkpoints)
+        return ProgressRecord(done, failed, checkpoints, hasStarted)
     }
 }
 
@@ -262,6 +262,9 @@
     var hasUnlistedEnd = false
     var percent = 0
 
+    /** Whether its worker has ever shown it, by its answer to the order or in a listing. */
+    var isShown = false
+
     /** Whether it resumed from a checkpoint, so that its duration is not that of the whole task. */
     var isResumed = false
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -60,8 +60,10 @@
         progress: ProgressRecord,
         now: Long,
     ) {
-        job.hasStarted = true
-        job.state = JobState.ACTIVE
+        if (progress.showsStart) {
+            job.hasStarted = true
+            job.state = JobState.ACTIVE
+        }
         progress.doneTasks.filter { '.' !in it }.mapNotNullTo(job.doneOccurrences) { it.toIntOrNull() }
         val startedKeys = progress.doneTasks.filter { '.' in it } + progress.failedRuns.keys + progress.checkpoints.keys
         startedKeys
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -100,6 +100,7 @@
         }
         if (run != null) runs.markGone(run, "ended ${end.kind}", now)
         if (task == null) return
+        runs.recordStart(task.job)
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         when (end.kind) {
             EndKind.DONE -> {
@@ -271,6 +272,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmedAtMillis = now
         }
+        runs.recordShown(run)
         if (listed.percent != run.percent) run.progressAtMillis = now
         run.percent = listed.percent
         run.figure = listed.figure
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
@@ -37,6 +37,7 @@
                 worker.recordClock(outcome.clockMillis, now)
                 if (run.phase == RunPhase.STARTING && !run.isResumed) run.speed.recordStart(outcome.clockMillis)
                 confirm(run, now)
+                runs.recordShown(run)
             }
 
             is OrderOutcome.Unanswered -> resendStart(worker, run, order, isUncertain = true, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTracker.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/RunTracker.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.model.TaskId
 
 /** Adds and removes runs, and keeps the used room of workers and the used quota of teams consistent with them. */
@@ -17,10 +18,24 @@
         if (task != null) {
             task.run = run
             task.phase = TaskPhase.PLACED
-            task.job.hasStarted = true
         }
     }
 
+    /** Records that the worker of [run] has shown it, by its answer or in a listing. */
+    fun recordShown(run: Run) {
+        if (run.isShown) return
+        run.isShown = true
+        taskOf(run.taskId)?.let { recordStart(it.job) }
+    }
+
+    /** Records that a run of [job] has started on a worker; an order alone is no start. */
+    fun recordStart(job: JobEntry) {
+        if (job.hasStarted) return
+        job.hasStarted = true
+        if (job.state == JobState.QUEUED) job.state = JobState.ACTIVE
+        state.markChanged(job)
+    }
+
     /** Adds [run] on [worker] as a copy, in addition to the run that [task] already has. */
     fun addCopy(
         run: Run,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -1,7 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
 import org.verbenagauge.entry.jobs.model.Amount
-import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.StepSpecification
 import org.verbenagauge.entry.jobs.ports.StartOrder
@@ -344,10 +343,6 @@
                 "run ${run.runId} on ${worker.id}, free ${worker.free.cpuMillis}m, " +
                     "waited ${now - task.readySinceMillis} ms, ${task.lastRunSummary}",
             )
-            if (job.state == JobState.QUEUED) {
-                job.state = JobState.ACTIVE
-                state.markChanged(job)
-            }
         }
 
         // Returns the workers that the advisor allows, or null while its answer is pending.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -40,13 +40,19 @@
  * @property doneTasks local keys of tasks that are done.
  * @property failedRuns failed runs by local key of the task.
  * @property checkpoints latest checkpoint by local key of the task.
+ * @property isStarted whether a worker has shown a run; releases that store a record with the first order leave it out.
  */
 @Serializable
 public data class ProgressRecord(
     val doneTasks: List<String> = emptyList(),
     val failedRuns: Map<String, List<Long>> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
-)
+    val isStarted: Boolean = false,
+) {
+    /** Whether a run of the job has started. */
+    val showsStart: Boolean
+        get() = isStarted || doneTasks.isNotEmpty() || failedRuns.isNotEmpty() || checkpoints.isNotEmpty()
+}
 
 /**
  * Stored state of a job, which all entries read.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OrderCountedAsStartTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/OrderCountedAsStartTest.kt
@@ -95,6 +95,7 @@
                     ProgressRecord(checkpoints = mapOf("0.0.0" to "saved")),
                     none,
                 ),
+                InheritedCase("a start is stored", ProgressRecord(isStarted = true), none),
                 InheritedCase("a worker lists a run", ProgressRecord(), none) {
                     handleListing("w1", listing(listOf(running(task, runId = 7))), sentAtMillis = 30, now = 40)
                 },
