--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowTooLongTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowTooLongTest.kt
@@ -23,8 +23,10 @@
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
 import org.verbenagauge.entry.jobs.engine.listing
+import org.verbenagauge.entry.jobs.engine.starts
 import org.verbenagauge.entry.jobs.engine.step
 import org.verbenagauge.entry.jobs.engine.worker
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.records.OwnerRecord
@@ -53,7 +55,9 @@
     engine.handleListing("w1", listing(), sentAtMillis = START_MILLIS, now = START_MILLIS)
     repeat(waitingQueues) { engine.accept("job-$it", job(step(4)).copy(queueName = queueName(it)), now = START_MILLIS) }
     repeat(50) { engine.accept("busy-$it", job(step(4)).copy(queueName = BUSY_QUEUE), now = START_MILLIS) }
-    engine.decide(START_MILLIS, 0)
+    engine.decide(START_MILLIS, 0).starts().forEach {
+        engine.handleStartOutcome("w1", it.order, OrderOutcome.Done(START_MILLIS), START_MILLIS, START_MILLIS)
+    }
     return engine
 }
 
