A count of waiting jobs that no owner has made lately is not told as none

An entry took the count from the owner's row as last read, however old, also when its writer had counted nothing and only repeated the counts of the lost owner, when there was no row, and when it could not be read. Now a count is told only from a row that was read in the last 1.5 s and whose writer had read accepted jobs in the 2 s before; else the answer is 503 with Retry-After, and 'count-unknown' on the native interface. The gauge says NaN.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Reason.kt
@@ -142,6 +142,7 @@
         "The store did not say whether it took the call; send it again under the same id.",
     ),
     STORE_SILENT("store-silent", 503, Verdict.NOT_RUN, "The store does not answer; ask again later."),
+    COUNT_UNKNOWN("count-unknown", 503, Verdict.NOT_RUN, "No owner has counted the jobs lately; ask again later."),
     INTERNAL_ERROR(
         "internal-error",
         500,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -9,6 +9,7 @@
 import org.verbenagauge.entry.jobs.front.JobAdmission
 import org.verbenagauge.entry.jobs.front.JobCalls
 import org.verbenagauge.entry.jobs.front.JobFront
+import org.verbenagauge.entry.jobs.front.PendingCounts
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.owner.OwnerBroadcast
@@ -70,8 +71,11 @@
 
     private val admission = JobAdmission(catalogue, clock, isEnabled = { limits().load.admission })
 
+    private val pendingCounts = PendingCounts(catalogue, clock)
+
     /** Handles the calls of callers. */
-    public val calls: JobCalls = JobCalls(JobFront(ports.store, catalogue, clock), clock, log, metrics, admission)
+    public val calls: JobCalls =
+        JobCalls(JobFront(ports.store, catalogue, clock), pendingCounts, clock, log, metrics, admission)
 
     /** Whether this entry is the owner, which decides on placement. */
     public val isOwner: Boolean get() = ownership.isOwner
@@ -179,10 +183,10 @@
         ) {
             (admission.pressureView()?.ageMillis ?: 0) / MILLIS_PER_SECOND
         }
-        metrics.gauge("verbenagauge_pending_jobs", "Accepted jobs without a started task, as reported by the owner") {
-            val pendingByQueue = catalogue.owner?.record?.pendingByQueue
-            pendingByQueue?.values?.sum()?.toDouble() ?: 0.0
-        }
+        metrics.gauge(
+            "verbenagauge_pending_jobs",
+            "Accepted jobs without a started task, as counted by the owner; NaN when that is not known",
+        ) { pendingCounts.total()?.toDouble() ?: Double.NaN }
     }
 
     private companion object {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
@@ -49,6 +49,7 @@
 /** Handles calls about jobs at one entry: checks queue and key, acts on the job, and logs and counts the outcome. */
 public class JobCalls internal constructor(
     private val front: JobFront,
+    private val pendingCounts: PendingCounts,
     private val clock: Clock,
     private val log: EventLog,
     private val metrics: JobMetrics,
@@ -128,12 +129,12 @@
         return outcome
     }
 
-    /** Returns the number of accepted jobs of the queue without a started task. */
-    public fun pending(admitted: Admittance.Granted): Int {
+    /** Returns the number of accepted jobs of the queue without a started task; null when it is not known. */
+    public fun pending(admitted: Admittance.Granted): Int? {
         val startedMillis = clock.monotonicMillis()
-        val pending = front.pending(admitted.queue.name)
+        val pending = pendingCounts.of(admitted.queue.name)
         recordAnswer("count", admitted, pending, startedMillis)
-        return pending.count ?: 0
+        return pending.count
     }
 
     private fun recordAnswer(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
@@ -66,27 +66,6 @@
     ) : CancelOutcome
 }
 
-/**
- * Number of accepted jobs of a queue without a started task, with what it rests on.
- *
- * @property count number of jobs; null when it is not known.
- * @property isListed whether the owner's row names the queue.
- * @property ownerId entry that wrote the row; null when no row is known.
- * @property epoch epoch of the owner that wrote the row; null when no row is known.
- * @property version version of the row in the store; null when the table has not been read.
- * @property rowAgeMillis time since this entry first read the row; null when the table has not been read.
- * @property ageWhenWrittenMillis age of the count when the row was written; null when its writer has not counted.
- */
-public data class PendingCount(
-    val count: Int?,
-    val isListed: Boolean,
-    val ownerId: String?,
-    val epoch: Long?,
-    val version: Long?,
-    val rowAgeMillis: Long?,
-    val ageWhenWrittenMillis: Long?,
-)
-
 /** Submits, looks up and cancels jobs at one entry. Calls only the store, so that it works without an owner. */
 internal class JobFront(
     private val store: RowStore,
@@ -158,22 +137,6 @@
         return CancelOutcome.Unsettled(cause)
     }
 
-    /** Returns the number of accepted jobs of [queueName] without a started task, as last reported by the owner. */
-    fun pending(queueName: String): PendingCount {
-        val observed = catalogue.owner
-        val record = observed?.record
-        val listed = record?.pendingByQueue?.get(queueName)
-        return PendingCount(
-            count = listed ?: 0,
-            isListed = listed != null,
-            ownerId = record?.entryId,
-            epoch = record?.epoch,
-            version = observed?.version,
-            rowAgeMillis = observed?.let { clock.monotonicMillis() - it.observedAtMillis },
-            ageWhenWrittenMillis = record?.pendingAgeMillis,
-        )
-    }
-
     private fun StoredRow.isBar() = value?.let(StoredTables::isBar) == true
 
     private fun attemptMillis(deadlineMillis: Long): Long =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobRoutes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobRoutes.kt
@@ -41,7 +41,8 @@
  * Body of the answer to a call about a job or a queue.
  *
  * @property state state of the job, in lower case; null when the answer reports no state.
- * @property pending accepted jobs of the queue without a started task; null for calls about one job.
+ * @property pending accepted jobs of the queue without a started task; null for calls about one job and when it is not
+ * known.
  * @property detail what is wrong and how to correct it, or null.
  */
 @Serializable
@@ -131,7 +132,10 @@
 
     /** Answers with the number of pending jobs of the queue. */
     suspend fun pending(call: JobCall): JobReply =
-        withAccess(call) { JobReply(Reason.JOB_TOLD, JobCallAnswer(pending = calls.pending(it))) }
+        withAccess(call) { admitted ->
+            calls.pending(admitted)?.let { JobReply(Reason.JOB_TOLD, JobCallAnswer(pending = it)) }
+                ?: JobReply(Reason.COUNT_UNKNOWN, retryAfterMillis = MILLIS_PER_SECOND)
+        }
 
     /** Submits the job that [body] specifies. */
     suspend fun submit(
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
@@ -0,0 +1,66 @@
+package org.verbenagauge.entry.jobs.front
+
+import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.records.OwnerRecord
+
+/**
+ * Number of accepted jobs of a queue without a started task, with what it rests on.
+ *
+ * @property count number of jobs; null when it is not known.
+ * @property isListed whether the owner's row names the queue.
+ * @property ownerId entry that wrote the row; null when no row is known.
+ * @property epoch epoch of the owner that wrote the row; null when no row is known.
+ * @property version version of the row in the store; null when the table has not been read.
+ * @property rowAgeMillis time since this entry first read the row; null when the table has not been read.
+ * @property ageWhenWrittenMillis age of the count when the row was written; null when its writer has not counted.
+ */
+public data class PendingCount(
+    val count: Int?,
+    val isListed: Boolean,
+    val ownerId: String?,
+    val epoch: Long?,
+    val version: Long?,
+    val rowAgeMillis: Long?,
+    val ageWhenWrittenMillis: Long?,
+)
+
+/** Counts of waiting jobs at one entry, from the newest row whose owner had counted them. */
+internal class PendingCounts(
+    private val catalogue: StateCatalogue,
+    private val clock: Clock,
+) {
+    /** Returns the count of [queueName]. */
+    fun of(queueName: String): PendingCount {
+        val observed = catalogue.lastCount ?: catalogue.owner
+        val record = observed?.record
+        val listed = record?.pendingByQueue?.get(queueName)
+        return PendingCount(
+            count = currentRecord()?.let { listed ?: 0 },
+            isListed = listed != null,
+            ownerId = record?.entryId,
+            epoch = record?.epoch,
+            version = observed?.version,
+            rowAgeMillis = observed?.let(::ageMillis),
+            ageWhenWrittenMillis = record?.pendingAgeMillis,
+        )
+    }
+
+    /** Returns the sum of the counts of all queues; null when it is not known. */
+    fun total(): Int? = currentRecord()?.pendingByQueue?.values?.sum()
+
+    private fun currentRecord(): OwnerRecord? {
+        val observed = catalogue.lastCount ?: return null
+        if (ageMillis(observed) > MAX_ROW_AGE_MILLIS) return null
+        return observed.record?.takeIf { (it.pendingAgeMillis ?: Long.MAX_VALUE) <= MAX_READING_AGE_MILLIS }
+    }
+
+    private fun ageMillis(observed: ObservedOwner) = clock.monotonicMillis() - observed.observedAtMillis
+
+    private companion object {
+        // A count may be 2 s old by the published protocol, and a row is read up to half a second after it was written.
+        const val MAX_ROW_AGE_MILLIS = 1_500L
+
+        // Twice the wait of the owner's feed of accepted jobs, so that one late answer does not make counts unknown.
+        const val MAX_READING_AGE_MILLIS = 2_000L
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
@@ -42,6 +42,10 @@
     var owner: ObservedOwner? = null
         private set
 
+    /** Newest row whose owner had counted the waiting jobs; null until one has been read. */
+    var lastCount: ObservedOwner? = null
+        private set
+
     /** Receives an element after each change of the owner's row; changes that nobody has received yet are merged. */
     val ownerChanges = Channel<Unit>(Channel.CONFLATED)
 
@@ -110,7 +114,9 @@
         if (row.version <= (owner?.version ?: -1)) return
         val record = row.value?.let { RecordCodec.decode(OwnerRecord.serializer(), it) }
         val ageMillis = if (owner == null) ageMillis(record) else null
-        owner = ObservedOwner(record, row.version, clock.monotonicMillis(), ageMillis)
+        val observed = ObservedOwner(record, row.version, clock.monotonicMillis(), ageMillis)
+        owner = observed
+        if (record?.pendingAgeMillis != null) lastCount = observed
         ownerChanges.trySend(Unit)
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -85,7 +85,8 @@
     suspend fun release() {
         withTimeoutOrNull(RELEASE_MILLIS) {
             if (hasPendingWrite && settle() is ChainOutcome.Lost) return@withTimeoutOrNull
-            pending = PendingWrite(record.copy(entryId = "", sequence = record.sequence + 1), emptyList())
+            val released = record.copy(entryId = "", sequence = record.sequence + 1, pendingAgeMillis = null)
+            pending = PendingWrite(released, emptyList())
             settle()
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -124,7 +124,7 @@
                 entryId = entryId,
                 epoch = epoch,
                 sequence = 0,
-                // Callers may query the counts before the new owner can compute them.
+                // Without an age, since this owner has counted nothing yet.
                 pendingByQueue = seen.record?.pendingByQueue.orEmpty(),
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = seen.record?.keepsRoster ?: (seen.version == 0L),
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
@@ -91,8 +91,10 @@
     admitted: Admittance.Granted,
 ): ClientAnswer {
     if (call.request.httpMethod != HttpMethod.Get) return ClientAnswer(HttpStatusCode.MethodNotAllowed)
-    val pending = WirePending(calls.pending(admitted))
-    return ClientAnswer(HttpStatusCode.OK, wireJson.encodeToString(WirePending.serializer(), pending))
+    val count =
+        calls.pending(admitted)
+            ?: return ClientAnswer(HttpStatusCode.ServiceUnavailable, retryAfterMillis = MILLIS_PER_SECOND)
+    return ClientAnswer(HttpStatusCode.OK, wireJson.encodeToString(WirePending.serializer(), WirePending(count)))
 }
 
 private suspend fun submit(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/UnknownCountToldAsNoneTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/UnknownCountToldAsNoneTest.kt
@@ -40,10 +40,10 @@
         }
     val store = FollowedStore()
     val catalogue = StateCatalogue(store, clock)
-    val front = JobFront(store, catalogue, clock)
+    val counts = PendingCounts(catalogue, clock)
     backgroundScope.launch { catalogue.run() }
     act(store)
-    return front.pending(QUEUE).count
+    return counts.of(QUEUE).count
 }
 
 // A count that no owner has made lately is not a count of none.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
@@ -7,6 +7,7 @@
 import org.verbenagauge.entry.jobs.front.JobFront
 import org.verbenagauge.entry.jobs.front.JobLookup
 import org.verbenagauge.entry.jobs.front.PendingCount
+import org.verbenagauge.entry.jobs.front.PendingCounts
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.front.SubmitOutcome
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
@@ -44,6 +45,7 @@
         val process: VirtualProcess,
         val ownership: Ownership,
         val front: JobFront,
+        val pendingCounts: PendingCounts,
         val peers: EntryPeers,
     )
 
@@ -78,7 +80,8 @@
         ownership.configure(env.configuration)
         process.scope.launch { catalogue.run() }
         process.scope.launch { ownership.run() }
-        running = RunningEntry(process, ownership, JobFront(store, catalogue, process), network)
+        val front = JobFront(store, catalogue, process)
+        running = RunningEntry(process, ownership, front, PendingCounts(catalogue, process), network)
     }
 
     private fun ownership(
@@ -195,7 +198,7 @@
     fun count(): PendingCount? {
         val asked = running ?: return null
         val isInTouch = isUndisturbed(asked.process, CONTACT_MILLIS)
-        return if (isInTouch) asked.front.pending(QUEUE) else null
+        return if (isInTouch) asked.pendingCounts.of(QUEUE) else null
     }
 
     private fun <T> call(
