A queue that does not fit into the owner's row has no count, instead of none

UnknownCountToldAsNoneTest has the case; it fails without the mend, since an absent queue read as 0.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
@@ -35,7 +35,7 @@
         val record = observed?.record
         val listed = record?.pendingByQueue?.get(queueName)
         return PendingCount(
-            count = currentRecord()?.let { listed ?: 0 },
+            count = currentRecord()?.let { listed ?: 0.takeIf { _ -> !it.omitsPending } },
             isListed = listed != null,
             ownerId = record?.entryId,
             epoch = record?.epoch,
@@ -46,7 +46,12 @@
     }
 
     /** Returns the sum of the counts of all queues; null when it is not known. */
-    fun total(): Int? = currentRecord()?.pendingByQueue?.values?.sum()
+    fun total(): Int? =
+        currentRecord()
+            ?.takeIf { !it.omitsPending }
+            ?.pendingByQueue
+            ?.values
+            ?.sum()
 
     private fun currentRecord(): OwnerRecord? {
         val observed = catalogue.lastCount ?: return null
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/FittingFigures.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/FittingFigures.kt
@@ -5,20 +5,23 @@
 
 /**
  * Returns the figures as far as they fit into the owner's row. Queues and accounts with the smallest figures are left
- * out, so that no configuration and no load can make the row longer than the store accepts.
+ * out, which the figures say of the pending jobs, so that no configuration and no load can make the row longer than the store accepts.
  */
 internal fun fittingFigures(
     pendingByQueue: Map<String, Int>,
     pressure: LoadPressure?,
-): OwnerFigures =
-    OwnerFigures(
-        pendingByQueue = pendingByQueue.largestWithin(PENDING_BYTES, COUNT_BYTES) { it.toLong() },
+): OwnerFigures {
+    val largest = pendingByQueue.largestWithin(PENDING_BYTES, COUNT_BYTES) { it.toLong() }
+    return OwnerFigures(
+        pendingByQueue = largest,
         pressure =
             pressure?.copy(
                 byQueue = pressure.byQueue.largestWithin(PRESSURE_BYTES, WAIT_BYTES) { it.surplusWaitMillis },
                 surplusTeams = pressure.surplusTeams.largestWithin(TEAM_BYTES, COUNT_BYTES) { -it.toLong() },
             ),
+        omitsPending = largest.size < pendingByQueue.size,
     )
+}
 
 private fun <V> Map<String, V>.largestWithin(
     maxBytes: Int,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -75,6 +75,7 @@
                 pendingByQueue = figures.pendingByQueue,
                 pressure = figures.pressure,
                 pendingAgeMillis = figures.pendingAgeMillis,
+                omitsPending = figures.omitsPending,
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = record.keepsRoster || isRosterComplete,
             )
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -79,6 +79,7 @@
  * @property pressure load pressure on the queues; null when not reported.
  * @property pendingAgeMillis age of [pendingByQueue] when the record was written, on the owner's monotonic clock; null
  * when the owner has not counted, as while it takes over and repeats the counts of the owner before it.
+ * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
  */
 @Serializable
 public data class OwnerRecord(
@@ -90,6 +91,7 @@
     val keepsRoster: Boolean = false,
     val pressure: LoadPressure? = null,
     val pendingAgeMillis: Long? = null,
+    val omitsPending: Boolean = false,
 )
 
 /**
@@ -98,11 +100,13 @@
  * @property pendingByQueue number of accepted jobs without a started task, by queue.
  * @property pressure load pressure on the queues; null when not reported.
  * @property pendingAgeMillis age of [pendingByQueue] in milliseconds; null when this owner has not counted.
+ * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
  */
 public data class OwnerFigures(
     val pendingByQueue: Map<String, Int> = emptyMap(),
     val pressure: LoadPressure? = null,
     val pendingAgeMillis: Long? = null,
+    val omitsPending: Boolean = false,
 )
 
 /**
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/UnknownCountToldAsNoneTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/UnknownCountToldAsNoneTest.kt
@@ -107,6 +107,14 @@
                     it.storeOwner(counted(NEXT, epoch = 2))
                     advanceTimeBy(300)
                 },
+                CountCase("the row names the queue and leaves out others", 16) {
+                    it.storeOwner(counted(LOST, epoch = 1).copy(omitsPending = true))
+                    advanceTimeBy(300)
+                },
+                CountCase("the row leaves out queues, perhaps this one", null) {
+                    it.storeOwner(counted(LOST, epoch = 1, pending = mapOf("other" to 3)).copy(omitsPending = true))
+                    advanceTimeBy(300)
+                },
                 CountCase("the owner renews its row but has not read accepted jobs for three seconds", null) {
                     it.storeOwner(counted(LOST, epoch = 1, pending = emptyMap(), ageMillis = 3_000))
                     advanceTimeBy(300)
