--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
@@ -137,13 +137,6 @@
         return CancelOutcome.Unsettled(cause)
     }
 
-    /** Returns the number of accepted jobs of [queueName] without a started task, as last reported by the owner. */
-    fun pending(queueName: String): Int =
-        catalogue.owner
-            ?.record
-            ?.pendingByQueue
-            ?.get(queueName) ?: 0
-
     private fun StoredRow.isBar() = value?.let(StoredTables::isBar) == true
 
     private fun attemptMillis(deadlineMillis: Long): Long =
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -74,6 +74,8 @@
                 sequence = record.sequence + 1,
                 pendingByQueue = figures.pendingByQueue,
                 pressure = figures.pressure,
+                pendingAgeMillis = figures.pendingAgeMillis,
+                omitsPending = figures.omitsPending,
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = record.keepsRoster || isRosterComplete,
             )
@@ -84,7 +86,8 @@
     suspend fun release() {
         withTimeoutOrNull(RELEASE_MILLIS) {
             if (hasPendingWrite && settle() is ChainOutcome.Lost) return@withTimeoutOrNull
-            pending = PendingWrite(record.copy(entryId = "", sequence = record.sequence + 1), emptyList())
+            val released = record.copy(entryId = "", sequence = record.sequence + 1, pendingAgeMillis = null)
+            pending = PendingWrite(released, emptyList())
             settle()
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -40,13 +40,19 @@
  * @property doneTasks local keys of tasks that are done.
  * @property failedRuns failed runs by local key of the task.
  * @property checkpoints latest checkpoint by local key of the task.
+ * @property isStarted whether a worker has shown a run; releases that store a record with the first order leave it out.
  */
 @Serializable
 public data class ProgressRecord(
     val doneTasks: List<String> = emptyList(),
     val failedRuns: Map<String, List<Long>> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
-)
+    val isStarted: Boolean = false,
+) {
+    /** Whether a run of the job has started. */
+    val showsStart: Boolean
+        get() = isStarted || doneTasks.isNotEmpty() || failedRuns.isNotEmpty() || checkpoints.isNotEmpty()
+}
 
 /**
  * Stored state of a job, which all entries read.
@@ -71,6 +77,9 @@
  * @property keepsRoster whether every worker that may hold runs has a row; releases without a roster do not write this
  * field.
  * @property pressure load pressure on the queues; null when not reported.
+ * @property pendingAgeMillis age of [pendingByQueue] when the record was written, on the owner's monotonic clock; null
+ * when the owner has not counted, as while it takes over and repeats the counts of the owner before it.
+ * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
  */
 @Serializable
 public data class OwnerRecord(
@@ -81,6 +90,8 @@
     val writtenUnixMillis: Long = 0,
     val keepsRoster: Boolean = false,
     val pressure: LoadPressure? = null,
+    val pendingAgeMillis: Long? = null,
+    val omitsPending: Boolean = false,
 )
 
 /**
@@ -88,10 +99,14 @@
  *
  * @property pendingByQueue number of accepted jobs without a started task, by queue.
  * @property pressure load pressure on the queues; null when not reported.
+ * @property pendingAgeMillis age of [pendingByQueue] in milliseconds; null when this owner has not counted.
+ * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
  */
 public data class OwnerFigures(
     val pendingByQueue: Map<String, Int> = emptyMap(),
     val pressure: LoadPressure? = null,
+    val pendingAgeMillis: Long? = null,
+    val omitsPending: Boolean = false,
 )
 
 /**
