An odd settings file leaves the settings in use and is told of

What operators would see: a settings file with a key of many parts, or with lists nested 20,000 deep, took the whole heap or the stack. At SIGHUP and at each look at the file the watch ended, so that no later change was followed, and the process ran out of memory beside it; a port of 70000 or a lease of 2^63-1 ms was taken as valid.

Cause: the TOML parser takes a frame of the stack for each bracket and memory that grows with the square of the parts of a key. Both are Errors, which nobody catches; the decoding after the check of the form stood outside of any check at all, and the watch ran without a supervisor.

The decoding stands in the same check as the parsing. SettingsWatch runs under the supervisor. Ports, times and numbers have an upper bound.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsReader.kt
@@ -1,10 +1,6 @@
 package org.verbenagauge.entry.settings
 
-import com.akuleshov7.ktoml.Toml
-import com.akuleshov7.ktoml.TomlInputConfig
-import com.akuleshov7.ktoml.parsers.TomlParser
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.Path
 
 internal const val MAX_PORT = 65_535
@@ -14,7 +10,7 @@
 /** Reads and checks the settings in [file]. */
 public fun readSettings(file: Path): SettingsOutcome =
     try {
-        parseSettings(Files.readString(file), file.toString())
+        parseSettings(readSettingsText(file), file.toString())
     } catch (e: IOException) {
         SettingsOutcome.Invalid("$file: cannot be read: ${e.message}")
     }
@@ -24,26 +20,15 @@
     text: String,
     fileName: String,
 ): SettingsOutcome {
-    val problem = formProblem(text)
-    if (problem != null) return SettingsOutcome.Invalid("$fileName: $problem")
-    val settings = toml.decodeFromString(EntrySettings.serializer(), text)
+    val settings =
+        when (val read = readToml(text, EntrySettings.serializer())) {
+            is TomlOutcome.Problem -> return SettingsOutcome.Invalid("$fileName: ${read.text}")
+            is TomlOutcome.Read -> read.value
+        }
     val valueProblem = firstProblem(settings) ?: return SettingsOutcome.Valid(settings)
     return SettingsOutcome.Invalid("$fileName: $valueProblem")
 }
 
-// The TOML parser reports some malformed input by unchecked exceptions of the language's library.
-@Suppress("TooGenericExceptionCaught")
-private fun formProblem(text: String): String? =
-    try {
-        val tree = TomlParser(inputConfig).parseString(text)
-        shapeProblem(tree, EntrySettings.serializer().descriptor)
-    } catch (e: RuntimeException) {
-        "is not valid TOML: ${e.message}"
-    }
-
-private val inputConfig = TomlInputConfig(ignoreUnknownNames = false)
-private val toml = Toml(inputConfig = inputConfig)
-
 private fun firstProblem(settings: EntrySettings): String? =
     listOfNotNull(
         "entry.id: write a name that is unique over the fleet".takeIf { settings.entry.id.isBlank() },
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -160,7 +160,7 @@
                 load = it.load
             }
         watch.listen()
-        scope.launch { watch.run() }
+        scope.launch { supervise(child("settings watch", watch::run), log) }
     }
 
     private suspend fun connectPeers(directory: EntryDirectory) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
@@ -1,14 +1,13 @@
 package org.verbenagauge.platform
 
-import com.akuleshov7.ktoml.Toml
-import com.akuleshov7.ktoml.TomlInputConfig
-import com.akuleshov7.ktoml.parsers.TomlParser
 import kotlinx.serialization.Serializable
 import org.verbenagauge.entry.jobs.fleet.DEFAULT_ORDERS_PER_SECOND
 import org.verbenagauge.entry.load.LoadSettings
-import org.verbenagauge.entry.settings.shapeProblem
+import org.verbenagauge.entry.settings.MAX_PORT
+import org.verbenagauge.entry.settings.TomlOutcome
+import org.verbenagauge.entry.settings.readSettingsText
+import org.verbenagauge.entry.settings.readToml
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.Path
 
 /**
@@ -108,30 +107,28 @@
     ) : PlatformSettingsOutcome
 }
 
-private val inputConfig = TomlInputConfig(ignoreUnknownNames = false)
+// A day.
+private const val MAX_MILLIS = 86_400_000L
+private const val MAX_NUMBER = 1_000_000.0
 
 /** Reads and checks the settings in [file]. */
 public fun readPlatformSettings(file: Path): PlatformSettingsOutcome =
     try {
-        parsePlatformSettings(Files.readString(file), file.toString())
+        parsePlatformSettings(readSettingsText(file), file.toString())
     } catch (e: IOException) {
         PlatformSettingsOutcome.Invalid("$file: cannot be read: ${e.message}")
     }
 
 /** Reads and checks settings from [text]; [fileName] is used in messages. */
-@Suppress("TooGenericExceptionCaught")
 public fun parsePlatformSettings(
     text: String,
     fileName: String,
 ): PlatformSettingsOutcome {
-    val formProblem =
-        try {
-            shapeProblem(TomlParser(inputConfig).parseString(text), PlatformEntrySettings.serializer().descriptor)
-        } catch (e: RuntimeException) {
-            "is not valid TOML: ${e.message}"
+    val settings =
+        when (val read = readToml(text, PlatformEntrySettings.serializer())) {
+            is TomlOutcome.Problem -> return PlatformSettingsOutcome.Invalid("$fileName: ${read.text}")
+            is TomlOutcome.Read -> read.value
         }
-    if (formProblem != null) return PlatformSettingsOutcome.Invalid("$fileName: $formProblem")
-    val settings = Toml(inputConfig = inputConfig).decodeFromString(PlatformEntrySettings.serializer(), text)
     val valueProblem = valueProblem(settings) ?: return PlatformSettingsOutcome.Valid(settings)
     return PlatformSettingsOutcome.Invalid("$fileName: $valueProblem")
 }
@@ -146,26 +143,35 @@
         addressProblem("platform.store", settings.platform.store),
         optionalAddressProblem("platform.machines", settings.platform.machines),
         optionalAddressProblem("platform.advisor", settings.platform.advisor),
-        "limits.leaseMaxMillis: write a number of at least 1".takeIf { settings.limits.leaseMaxMillis < 1 },
-        "limits.stopMillis: write a number of at least 1".takeIf { settings.limits.stopMillis < 1 },
+        timeProblem("limits.leaseMaxMillis", settings.limits.leaseMaxMillis),
+        timeProblem("limits.stopMillis", settings.limits.stopMillis),
         numberProblem("limits.processorShare", settings.limits.processorShare),
         numberProblem("limits.processorSpeed", settings.limits.processorSpeed),
         numberProblem("limits.machineOrdersPerSecond", settings.limits.machineOrdersPerSecond),
     ).firstOrNull()
 
+private fun timeProblem(
+    field: String,
+    millis: Long,
+): String? = "$field: write a number of at least 1 and at most $MAX_MILLIS".takeIf { millis !in 1..MAX_MILLIS }
+
 private fun numberProblem(
     field: String,
     text: String,
 ): String? {
     // A template leaves out what the platform does not tell.
-    val isUsable = text.isEmpty() || text.toDoubleOrNull()?.let { it.isFinite() && it > 0 } ?: false
-    return if (isUsable) null else "$field: write a number above 0 as text, such as \"0.75\""
+    val isUsable = text.isEmpty() || text.toDoubleOrNull()?.let { it > 0 && it <= MAX_NUMBER } ?: false
+    return if (isUsable) null else "$field: write a number above 0 and up to a million as text, such as \"0.75\""
 }
 
 private fun addressProblem(
     field: String,
     text: String,
-): String? = "$field: write an address as host:port, such as \"10.0.0.1:8080\"".takeIf { parseHostPort(text) == null }
+): String? =
+    "$field: write an address as host:port, such as \"10.0.0.1:8080\"".takeIf {
+        parseHostPort(text)?.port !in
+            0..MAX_PORT
+    }
 
 private fun optionalAddressProblem(
     field: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/SettingsWatch.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/SettingsWatch.kt
@@ -4,9 +4,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
+import org.verbenagauge.entry.settings.readSettingsText
 import sun.misc.Signal
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.Path
 
 /**
@@ -67,7 +67,7 @@
     // A file that cannot be read is told of where it is read as settings.
     private fun textOf(file: Path): String? =
         try {
-            Files.readString(file)
+            readSettingsText(file)
         } catch (_: IOException) {
             null
         }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/settings/SettingsReaderTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/settings/SettingsReaderTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
+import io.kotest.engine.spec.tempfile
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.serialization.descriptors.elementNames
@@ -10,6 +11,9 @@
 private const val SEED = 20_261L
 private const val MUTATIONS = 3_000
 
+// As -Xss in deploy/system.toml.
+private const val STACK_BYTES = 256L * 1_024
+
 private val valid =
     """
     [entry]
@@ -127,6 +131,18 @@
             }
         }
 
+        context("given settings that are odd, when read on a short stack, then the outcome is one message") {
+            withData(nameFn = { it.name }, oddSettings(valid)) { case ->
+                val file = tempfile(suffix = ".toml")
+                file.writeBytes(case.bytes)
+                var outcome: SettingsOutcome? = null
+                val thread = Thread(null, { outcome = readSettings(file.toPath()) }, "reader", STACK_BYTES)
+                thread.start()
+                thread.join()
+                outcome.shouldBeInstanceOf<SettingsOutcome.Invalid>()
+            }
+        }
+
         test("given settings mutated at random, when read, then the outcome is always valid or one message") {
             val random = Random(SEED)
             repeat(MUTATIONS) {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
@@ -57,6 +57,28 @@
                     "f.toml: limits.processorSpeed: write a number",
                 ),
                 SettingsCase("no TOML", "[[[", "f.toml: is not valid TOML"),
+                SettingsCase("a port past the last", GOOD.replace(":90", ":70000"), "f.toml: platform.store: write an"),
+                SettingsCase("a negative port", GOOD.replace(":90", ":-1"), "f.toml: platform.store: write an"),
+                SettingsCase(
+                    "a number past any",
+                    GOOD + "[limits]\nleaseMaxMillis = 99999999999999999999\n",
+                    "f.toml: ",
+                ),
+                SettingsCase(
+                    "a lease past any time",
+                    GOOD + "[limits]\nleaseMaxMillis = 9223372036854775807\n",
+                    "f.toml: limits.leaseMaxMillis: write a number",
+                ),
+                SettingsCase(
+                    "a stop past any time",
+                    GOOD + "[limits]\nstopMillis = 9223372036854775807\n",
+                    "f.toml: limits.stopMillis: write a number",
+                ),
+                SettingsCase(
+                    "a processor past any",
+                    GOOD + "[limits]\nprocessorShare = \"1e300\"\n",
+                    "f.toml: limits.processorShare: write a number",
+                ),
             ) { case ->
                 val outcome = parsePlatformSettings(case.text, "f.toml")
                 outcome.shouldBeInstanceOf<PlatformSettingsOutcome.Invalid>().problem shouldStartWith case.problem
