A job with numbers that no job can mean gets 400 with the field

What callers would see: the platform's listener accepted (200) negative processor, memory and accelerators, 2^63-1 of them, times past any clock, steps that wait for themselves. A negative amount adds room to its worker, sums over jobs overflow, and a step that waits for itself stays queued for ever. A 400 came without a word on what was wrong.

Cause: the listener asked only for the size of a job; the other checks stood in specificationProblem, which the native interface alone uses and which knew no upper bounds.

The engine still asks only for the size of what is stored, so that no accepted job is dropped.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
@@ -25,13 +25,29 @@
 import org.verbenagauge.entry.jobs.front.JobLookup
 import org.verbenagauge.entry.jobs.front.SubmitOutcome
 import org.verbenagauge.entry.jobs.model.JobState
-import org.verbenagauge.entry.jobs.model.sizeProblem
+import org.verbenagauge.entry.jobs.model.boundsProblem
 
 private const val KEY_HEADER = "X-Verbenagauge-Credential"
 private const val WAIT_HEADER = "X-Verbenagauge-Deadline-Ms"
 private const val DEFAULT_WAIT_MILLIS = 3_000L
 private const val DEFAULT_BODY_BYTES = 262_144L
 private const val MILLIS_PER_SECOND = 1_000L
+private const val BODY_PROBLEM = "the body: write a job as JSON in UTF-8, each of its Steps with a Count of at least 1"
+
+private val wireNameByField =
+    mapOf(
+        "amount" to "Cpu, MemMb, Gpu",
+        "estimatedMillis" to "EstimatedMs",
+        "latencyTargetMillis" to "TargetMs",
+        "dependsOn" to "Dependencies",
+        "maxPerWorker" to "AntiAffinity",
+        "mayMiss" to "MissAllowed",
+        "repetitions" to "Repetitions",
+        "firstRunUnixMillis" to "FirstRunMs",
+        "intervalMillis" to "IntervalMs",
+        "steps" to "Steps",
+    )
+private val fieldPattern = Regex(wireNameByField.keys.joinToString("|", "\\b(?:", ")\\b"))
 
 /** Answers clients of the platform in their own form. */
 internal fun Application.clientRoutes(
@@ -95,6 +111,11 @@
     return ClientAnswer(HttpStatusCode.OK, wireJson.encodeToString(WirePending.serializer(), pending))
 }
 
+private fun refused(problem: String): ClientAnswer {
+    val text = wireJson.encodeToString(WireProblem.serializer(), WireProblem(problem))
+    return ClientAnswer(HttpStatusCode.BadRequest, text)
+}
+
 private suspend fun submit(
     calls: JobCalls,
     admitted: Admittance.Granted,
@@ -103,8 +124,10 @@
 ): ClientAnswer {
     val most = calls.configuration?.maxBodyBytes ?: DEFAULT_BODY_BYTES
     if (body == null || body.size > most) return ClientAnswer(HttpStatusCode.PayloadTooLarge)
-    val specification = readJob(body) ?: return ClientAnswer(HttpStatusCode.BadRequest)
-    if (sizeProblem(specification) != null) return ClientAnswer(HttpStatusCode.BadRequest)
+    val specification = readJob(body) ?: return refused(BODY_PROBLEM)
+    boundsProblem(specification)?.let { problem ->
+        return refused(problem.replace(fieldPattern) { wireNameByField.getValue(it.value) })
+    }
     return when (val outcome = calls.submit(admitted, specification, waitMillis)) {
         is SubmitOutcome.Accepted -> ClientAnswer(HttpStatusCode.OK, "{}")
         is SubmitOutcome.Refused ->
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -286,3 +286,8 @@
 internal data class WirePending(
     @SerialName("Pending") val pending: Int,
 )
+
+@Serializable
+internal data class WireProblem(
+    @SerialName("Problem") val problem: String,
+)
