A job whose body is cut off or is no UTF-8 gets 400

What callers would see: a body that ended before its Content-Length was accepted (200) when its JSON happened to be whole, and a specification with bytes that are no UTF-8 was stored with other characters in their place, which all its tasks got.

Cause: the server hands out what has come when the connection ends; the body was decoded leniently.

Evidence, on the code before: 2 cases of OddCallAtListenerTest, a body that ends early and a text that is no UTF-8, got 200.

Why this works: the length of a body must be the declared one, and its bytes are checked before they are decoded.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
@@ -33,6 +33,7 @@
 private const val DEFAULT_BODY_BYTES = 262_144L
 private const val MILLIS_PER_SECOND = 1_000L
 private const val BODY_PROBLEM = "the body: write a job as JSON in UTF-8, each of its Steps with a Count of at least 1"
+private const val LENGTH_PROBLEM = "the body: its length is not that of Content-Length"
 
 private val wireNameByField =
     mapOf(
@@ -93,7 +94,7 @@
         is Admittance.Granted ->
             when {
                 admittance.jobId.isEmpty() -> queueAnswer(call, calls, admittance)
-                call.request.httpMethod == HttpMethod.Post -> submit(calls, admittance, body, waitMillis)
+                call.request.httpMethod == HttpMethod.Post -> submit(call, calls, admittance, body, waitMillis)
                 call.request.httpMethod == HttpMethod.Get -> lookup(calls, admittance, waitMillis)
                 call.request.httpMethod == HttpMethod.Delete -> cancel(calls, admittance, waitMillis)
                 else -> ClientAnswer(HttpStatusCode.MethodNotAllowed)
@@ -117,6 +118,7 @@
 }
 
 private suspend fun submit(
+    call: ApplicationCall,
     calls: JobCalls,
     admitted: Admittance.Granted,
     body: ByteArray?,
@@ -124,6 +126,8 @@
 ): ClientAnswer {
     val most = calls.configuration?.maxBodyBytes ?: DEFAULT_BODY_BYTES
     if (body == null || body.size > most) return ClientAnswer(HttpStatusCode.PayloadTooLarge)
+    val declaredBytes = call.request.header(HttpHeaders.ContentLength)?.toLongOrNull()
+    if (declaredBytes != null && declaredBytes != body.size.toLong()) return refused(LENGTH_PROBLEM)
     val specification = readJob(body) ?: return refused(BODY_PROBLEM)
     boundsProblem(specification)?.let { problem ->
         return refused(problem.replace(fieldPattern) { wireNameByField.getValue(it.value) })
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -69,6 +69,7 @@
 
 /** Reads a job as callers send it; null when [body] is none. */
 internal fun readJob(body: ByteArray): JobSpecification? {
+    if (!isUtf8(body)) return null
     val wire = decode(WireJob.serializer(), body) ?: return null
     if (wire.steps.isEmpty() || wire.steps.any { it.count < 1 }) return null
     return JobSpecification(
@@ -80,6 +81,15 @@
     )
 }
 
+// Read leniently, the tasks would get another specification than the caller has sent.
+private fun isUtf8(bytes: ByteArray): Boolean =
+    try {
+        bytes.decodeToString(throwOnInvalidSequence = true)
+        true
+    } catch (_: CharacterCodingException) {
+        false
+    }
+
 private fun step(wire: WireStep) =
     StepSpecification(
         taskCount = wire.count,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
@@ -40,6 +40,13 @@
     val problem: String = "",
 )
 
+private data class IdCase(
+    val name: String,
+    val method: String,
+    val id: String,
+    val status: Int,
+)
+
 private data class RawCase(
     val name: String,
     val bytes: ByteArray,
@@ -159,6 +166,11 @@
                 step("a nested number", """"Cpu":${nested("[", "]")}""", ""),
                 BodyCase("nested lists alone", nested("[", "]").encodeToByteArray()),
                 BodyCase("no text", byteArrayOf(-1, -2, 0, 1)),
+                BodyCase(
+                    "a text that is no UTF-8",
+                    """{"Specification":"x""".encodeToByteArray() + byteArrayOf(-1) +
+                        """","Steps":[{"Count":1}]}""".encodeToByteArray(),
+                ),
                 step("more processor than a number holds", """"Cpu":99999999999999999999""", ""),
                 step("the largest processor", """"Cpu":9223372036854775807""", "Cpu"),
                 step("negative processor", """"Cpu":-5""", "Cpu"),
@@ -233,6 +245,7 @@
                 raw("a length that is no number", "$post\nContent-Length: many", whole),
                 raw("a negative length", "$post\nContent-Length: -5", whole),
                 raw("a length past any number", "$post\nContent-Length: 99999999999999999999", whole),
+                raw("a body that ends early", "$post\nContent-Length: 500", whole),
                 raw("chunks that end within one", "$post\nTransfer-Encoding: chunked", "ff$CRLF$whole"),
                 raw("a chunk of no length", "$post\nTransfer-Encoding: chunked", "zz$CRLF$whole$CRLF"),
                 raw("a negative chunk", "$post\nTransfer-Encoding: chunked", "-5$CRLF$whole$CRLF"),
