An id that no task id can carry names no job

What callers would see: a job with the id a.b was accepted. Its tasks are named a.b.0.0.0, which parseTaskId does not read, and a worker that lists one of them has, row for row, no readable listing: nothing is known of the other runs there as long as that task runs, so one caller's id holds up the jobs of all others on that worker.

Cause: the native interface checks ids; the platform's listener took the rest of the path, with dots, slashes and up to 8 KB, as the id.

Why this works: both interfaces now take the same ids. POST gets 400 with what to write; GET and DELETE get 410, since no job can have such an id. The ids of the platform, 16 hexadecimal digits, are untouched.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
@@ -32,9 +32,13 @@
 private const val DEFAULT_WAIT_MILLIS = 3_000L
 private const val DEFAULT_BODY_BYTES = 262_144L
 private const val MILLIS_PER_SECOND = 1_000L
+private const val ID_PROBLEM = "the path: write the id as 1 to 64 letters, digits, '-' and '_'"
 private const val BODY_PROBLEM = "the body: write a job as JSON in UTF-8, each of its Steps with a Count of at least 1"
 private const val LENGTH_PROBLEM = "the body: its length is not that of Content-Length"
 
+// Without dots: a worker that lists the tasks of an id with dots has a listing that nobody can read.
+private val jobIdPattern = Regex("[A-Za-z0-9_-]{1,64}")
+
 private val wireNameByField =
     mapOf(
         "amount" to "Cpu, MemMb, Gpu",
@@ -94,6 +98,7 @@
         is Admittance.Granted ->
             when {
                 admittance.jobId.isEmpty() -> queueAnswer(call, calls, admittance)
+                !jobIdPattern.matches(admittance.jobId) -> idAnswer(call)
                 call.request.httpMethod == HttpMethod.Post -> submit(call, calls, admittance, body, waitMillis)
                 call.request.httpMethod == HttpMethod.Get -> lookup(calls, admittance, waitMillis)
                 call.request.httpMethod == HttpMethod.Delete -> cancel(calls, admittance, waitMillis)
@@ -112,6 +117,14 @@
     return ClientAnswer(HttpStatusCode.OK, wireJson.encodeToString(WirePending.serializer(), pending))
 }
 
+// No job has such an id, so none is stored under it, and none is found.
+private fun idAnswer(call: ApplicationCall): ClientAnswer =
+    when (call.request.httpMethod) {
+        HttpMethod.Post -> refused(ID_PROBLEM)
+        HttpMethod.Get, HttpMethod.Delete -> ClientAnswer(HttpStatusCode.Gone)
+        else -> ClientAnswer(HttpStatusCode.MethodNotAllowed)
+    }
+
 private fun refused(problem: String): ClientAnswer {
     val text = wireJson.encodeToString(WireProblem.serializer(), WireProblem(problem))
     return ClientAnswer(HttpStatusCode.BadRequest, text)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
@@ -219,6 +219,26 @@
             }
         }
 
+        context("an id that no task id can carry names no job") {
+            withData(
+                nameFn = { "${it.method}, ${it.name}" },
+                listOf(
+                    "with dots" to "a.b",
+                    "as long as a line may be" to "a".repeat(5_000),
+                    "with a slash" to "a/b",
+                    "with an escape" to "%00",
+                    "with quotes" to "a\"b",
+                ).flatMap { (name, id) ->
+                    listOf(IdCase(name, "POST", id, 400), IdCase(name, "GET", id, 410), IdCase(name, "DELETE", id, 410))
+                },
+            ) { case ->
+                val body = if (case.method == "POST") jobBody(GOOD_STEP) else ByteArray(0)
+                statuses(port, request(case.method, "/p/${case.id}", body) + goodRequest()) shouldBe
+                    listOf(case.status, 200)
+                shouldServe()
+            }
+        }
+
         context("a wait that no caller means is answered") {
             withData(
                 "9223372036854775807" to 200,
