An odd form or cookie of the console gets 400, and no queue a wait past any time

What operators would see: a form or a session cookie with an escape that is none (%ZZ) got 500 and a stack trace in the log, also from somebody who is not signed in. The administration took a wait of 2^63-1 ms, for which the time to start by overflows, so that every request of the queue would be refused at once.

Cause: URLDecodeException was not expected where forms and cookies are read; waits, runs and connections had lower bounds only.

Why this works: what cannot be decoded is malformed, and a cookie that cannot be decoded is no session.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/operator/console/Console.kt
@@ -3,6 +3,7 @@
 import io.ktor.http.Cookie
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.URLDecodeException
 import io.ktor.http.parseQueryString
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
@@ -73,12 +74,14 @@
     private fun Route.signInRoutes() {
         get("sign-in") { call.respondPage { signInPage(null) } }
         post("sign-in") {
-            val values = call.formValues()
+            val bytes = call.formBytes()
+            val values = bytes?.let(::formValues)
             val operator = values?.get("key")?.let { administration.operators().holderOf(it) }
             when {
                 !call.isSameSite() -> call.refuse(ProblemKind.CROSS_SITE)
                 !administration.isFresh() -> call.refuse(ProblemKind.ENTRY_STALE)
-                values == null -> call.refuse(ProblemKind.TOO_LARGE)
+                bytes == null -> call.refuse(ProblemKind.TOO_LARGE)
+                values == null -> call.refuse(ProblemKind.MALFORMED)
                 operator == null ->
                     call.respondPage(HttpStatusCode.Unauthorized) { signInPage("The key is not valid.") }
                 else -> {
@@ -126,7 +129,8 @@
 
     private suspend fun ApplicationCall.submitForm(session: Session) {
         val form = form() ?: return refuse(ProblemKind.NOT_FOUND)
-        val values = formValues() ?: return refuse(ProblemKind.TOO_LARGE)
+        val bytes = formBytes() ?: return refuse(ProblemKind.TOO_LARGE)
+        val values = formValues(bytes) ?: return refuse(ProblemKind.MALFORMED)
         val version = values["version"]?.toLongOrNull()
         val operationId = values["operation"].orEmpty()
         when {
@@ -208,7 +212,7 @@
 
     private suspend fun ApplicationCall.signedIn(body: suspend (Session) -> Unit) {
         if (!administration.isFresh()) return refuse(ProblemKind.ENTRY_STALE)
-        val cookie = request.cookies[COOKIE_NAME].orEmpty()
+        val cookie = sessionCookie()
         val operator = sessions.operatorOf(cookie, administration.operators(), clock.wallMillis())
         when {
             operator != null -> body(Session(operator, cookie))
@@ -227,13 +231,26 @@
         return sameOrigin && request.headers["Sec-Fetch-Site"] in listOf(null, "same-origin", "none")
     }
 
-    private suspend fun ApplicationCall.formValues(): Map<String, String>? {
+    private suspend fun ApplicationCall.formBytes(): ByteArray? {
         val bytes = receiveChannel().readRemaining(MAX_FORM_BYTES + 1).readByteArray()
-        if (bytes.size > MAX_FORM_BYTES) return null
-        val parameters = parseQueryString(bytes.decodeToString(), limit = MAX_FORM_FIELDS)
-        return parameters.names().associateWith { parameters[it].orEmpty() }
+        return bytes.takeIf { it.size <= MAX_FORM_BYTES }
     }
 
+    private fun formValues(bytes: ByteArray): Map<String, String>? =
+        decodedOrNull {
+            val parameters = parseQueryString(bytes.decodeToString(), limit = MAX_FORM_FIELDS)
+            parameters.names().associateWith { parameters[it].orEmpty() }
+        }
+
+    private fun ApplicationCall.sessionCookie(): String = decodedOrNull { request.cookies[COOKIE_NAME] }.orEmpty()
+
+    private fun <T> decodedOrNull(decode: () -> T?): T? =
+        try {
+            decode()
+        } catch (_: URLDecodeException) {
+            null
+        }
+
     private fun ApplicationCall.setSession(
         cookie: String,
         maxAgeSeconds: Int,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/document/ConfigurationValidator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/state/document/ConfigurationValidator.kt
@@ -3,6 +3,10 @@
 private val namePattern = Regex("[a-z0-9][a-z0-9-]{0,62}")
 private val hashPattern = Regex("[0-9a-f]{64}")
 private const val MINUTES_PER_DAY = 24 * 60
+private const val MAX_PER_WORKER = 1_000_000
+
+// A year.
+private const val MAX_MILLIS = 31_622_400_000L
 
 /** Returns each problem of [configuration], naming the field; empty when the document is valid. */
 public fun validate(configuration: Configuration): List<String> =
@@ -42,6 +46,8 @@
         "pools['${pool.id}'].slotsPerWorker: must be at least 1".takeIf { pool.slotsPerWorker < 1 },
         "pools['${pool.id}'].connectionsPerWorker: must be at least slotsPerWorker"
             .takeIf { pool.connectionsPerWorker < pool.slotsPerWorker },
+        "pools['${pool.id}'].connectionsPerWorker: must be at most $MAX_PER_WORKER"
+            .takeIf { pool.connectionsPerWorker > MAX_PER_WORKER },
     )
 
 private fun teamProblems(team: Team): List<String> =
@@ -83,7 +89,9 @@
             .takeIf { configuration.pools.none { it.id == queue.poolId } },
         "queues['${queue.id}'].maxQueued: must be at least 1".takeIf { queue.maxQueued < 1 },
         "queues['${queue.id}'].maxWaitMillis: must be at least 1".takeIf { queue.maxWaitMillis < 1 },
+        "queues['${queue.id}'].maxWaitMillis: must be at most $MAX_MILLIS".takeIf { queue.maxWaitMillis > MAX_MILLIS },
         "queues['${queue.id}'].maxRunMillis: must be at least 1".takeIf { queue.maxRunMillis < 1 },
+        "queues['${queue.id}'].maxRunMillis: must be at most $MAX_MILLIS".takeIf { queue.maxRunMillis > MAX_MILLIS },
         "queues['${queue.id}'].finishByMinuteOfDay: must be from 0 to ${MINUTES_PER_DAY - 1}"
             .takeIf { queue.finishByMinuteOfDay != null && queue.finishByMinuteOfDay !in 0 until MINUTES_PER_DAY },
     ) +
