An answer is delivered when its Content-Type is none, and an odd path gets its verdict

What callers would see: a job had run, its endpoint answered with a Content-Type that is none, and the caller got 500 without a verdict. A path with an escape that is none (%ZZ) was answered without a verdict as well.

Cause: the type is parsed while answering, and the routing decodes the path before any route of ours.

Why this works: a type that cannot be read is left out and the body delivered; a path that cannot be decoded gets the answer of an unknown one before the routing.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/caller/CallerListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/caller/CallerListener.kt
@@ -1,13 +1,19 @@
 package org.verbenagauge.entry.caller
 
+import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.URLDecodeException
+import io.ktor.http.decodeURLPart
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.request.path
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytes
@@ -69,6 +75,11 @@
     handler: JobHandler,
 ) {
     val reader = JobReader(limits)
+    intercept(ApplicationCallPipeline.Plugins) {
+        if (isDecodable(call.request.path())) return@intercept
+        call.respondAnswer(JobAnswer(Reason.UNKNOWN_PATH), reader.requestId(call))
+        finish()
+    }
     routing {
         // The handler is cancelled when the caller has left.
         install(HttpRequestLifecycle) { cancelCallOnClose = true }
@@ -89,6 +100,14 @@
     }
 }
 
+private fun isDecodable(path: String): Boolean =
+    try {
+        path.decodeURLPart()
+        true
+    } catch (_: URLDecodeException) {
+        false
+    }
+
 internal sealed interface JobRead {
     class Accepted(
         val job: Job,
@@ -165,10 +184,18 @@
     } else {
         respondBytes(
             bytes = endpointAnswer.body,
-            contentType = endpointAnswer.contentType?.let(ContentType::parse),
+            contentType = endpointAnswer.contentType?.let(::contentTypeOf),
             status = HttpStatusCode.fromValue(endpointAnswer.status),
         )
     }
 }
 
+// An answer is delivered also when the endpoint or its caller has written a type that is none.
+private fun contentTypeOf(text: String): ContentType? =
+    try {
+        ContentType.parse(text)
+    } catch (_: BadContentTypeFormatException) {
+        null
+    }
+
 private fun ceilSeconds(millis: Long): Long = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/caller/CallerListenerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/caller/CallerListenerTest.kt
@@ -59,6 +59,26 @@
                     413,
                     "body-too-large",
                 ),
+                RawCase("content type that is none", post("x", "Content-Type: nonsense"), 200, "served"),
+                RawCase("content type of slashes", post("x", "Content-Type: ///;;="), 200, "served"),
+                RawCase(
+                    "deadline past any number",
+                    post("x", "${CallerHeaders.DEADLINE_MILLIS}: 99999999999999999999"),
+                    400,
+                    "deadline-malformed",
+                ),
+                RawCase(
+                    "negative deadline",
+                    post("x", "${CallerHeaders.DEADLINE_MILLIS}: -9223372036854775808"),
+                    400,
+                    "deadline-malformed",
+                ),
+                RawCase(
+                    "path with an escape that is none",
+                    "GET /v1/queues/%ZZ/jobs HTTP/1.1${CRLF}Host: x${CRLF}Connection: close$CRLF$CRLF",
+                    404,
+                    "unknown-path",
+                ),
                 RawCase("headers too large", post("x", "A: ${"x".repeat(1_000)}"), 431, "headers-too-large"),
                 RawCase(
                     "unknown path",
