A peer that cannot be dialed or handled ends its connection with a line in the log

What operators would see: an address with port 70000 or an unresolved name, and a message on which a listener fails, ended in the handler of the thread: without that a stack trace on standard error, and no line of the log.

Cause: only IOException was expected when dialing and serving.

Evidence, on the code before: the test run printed uncaught IllegalArgumentException (port out of range:70000 and :-1) and UnresolvedAddressException from the dialing coroutines; others were connected all the same. Frames with declared lengths of 2^31-1, and nested ones on a 256 KB stack, were refused without an Error before; 21 cases of FrameFuzzTest keep it so.

Why this works: both are logged as a refusal, and the connection is closed.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/SocketPeerNetwork.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/peers/SocketPeerNetwork.kt
@@ -199,11 +199,15 @@
             currentCoroutineContext().ensureActive()
         } catch (e: CancellationException) {
             currentCoroutineContext().ensureActive()
+        } catch (e: IllegalArgumentException) {
+            log.write(Event.PEER_REFUSED, "'${address.host}:${address.port}' is no address: $e")
         } finally {
             dialing -= address
         }
     }
 
+    // What a listener cannot handle ends this connection, and no other.
+    @Suppress("TooGenericExceptionCaught")
     private suspend fun serve(
         socket: Socket,
         dialed: PeerAddress?,
@@ -219,6 +223,9 @@
             currentCoroutineContext().ensureActive()
         } catch (e: CancellationException) {
             currentCoroutineContext().ensureActive()
+        } catch (e: RuntimeException) {
+            stats.refusedFrames.incrementAndGet()
+            log.write(Event.PEER_REFUSED, "$remote: a message cannot be handled: $e")
         } finally {
             open.decrementAndGet()
         }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/FrameFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/FrameFuzzTest.kt
@@ -1,13 +1,16 @@
 package org.verbenagauge.entry.peers
 
+import com.sun.management.ThreadMXBean
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.utils.io.ByteReadChannel
 import org.verbenagauge.entry.model.PeerId
 import java.io.IOException
+import java.lang.management.ManagementFactory
 import java.nio.ByteBuffer
 import kotlin.random.Random
 
@@ -26,6 +29,34 @@
     val bytes: ByteArray,
 )
 
+private const val MOST_ALLOCATED_BYTES = 1_000_000L
+
+// As -Xss in deploy/system.toml.
+private const val STACK_BYTES = 256L * 1_024
+
+private fun allocatedBytes(): Long {
+    val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
+    return threads.getThreadAllocatedBytes(Thread.currentThread().id)
+}
+
+private fun header(
+    kind: Int,
+    size: Int,
+): ByteArray =
+    ByteBuffer
+        .allocate(1 + Int.SIZE_BYTES)
+        .put(kind.toByte())
+        .putInt(size)
+        .array()
+
+private fun ByteArray.replaced(
+    part: ByteArray,
+    other: ByteArray,
+): ByteArray {
+    val at = (0..size - part.size).first { copyOfRange(it, it + part.size).contentEquals(part) }
+    return copyOfRange(0, at) + other + copyOfRange(at + part.size, size)
+}
+
 private fun sized(
     size: Int,
     body: Int,
@@ -68,6 +99,52 @@
             }
         }
 
+        context("given a message that declares more than its frame holds, when it is read, then it takes no memory") {
+            val valid = encodeMessage(StateMessage.Changes(listOf("one", "two"), HeldReport(2, 1, 1, true)))
+            val list = byteArrayOf(0x82.toByte(), 0x63) + "one".encodeToByteArray()
+            val text = byteArrayOf(0x63) + "one".encodeToByteArray()
+            val part = encodeMessage(StateMessage.SnapshotPart(1, 0, 1, byteArrayOf(7, 7, 7)))
+            val bytes = byteArrayOf(0x43, 7, 7, 7)
+            withData(
+                nameFn = { it.name },
+                listOf(0x7f_ff_ff_ff, 0x00_ff_ff_ff, -1).flatMap { size ->
+                    listOf(
+                        FrameCase("a list of $size", valid.replaced(list, header(0x9a, size) + text)),
+                        FrameCase("a text of $size bytes", valid.replaced(text, header(0x7a, size))),
+                        FrameCase("$size bytes", part.replaced(bytes, header(0x5a, size))),
+                        FrameCase("a map of $size", header(0xba, size)),
+                        FrameCase("an unknown list of $size", valid + header(0x9a, size)),
+                    )
+                },
+            ) { case ->
+                val before = allocatedBytes()
+                decodeMessage(case.bytes)
+                readHello(case.bytes, local).shouldBeInstanceOf<HelloOutcome.Refused>()
+                (allocatedBytes() - before) shouldBeLessThan MOST_ALLOCATED_BYTES
+            }
+        }
+
+        context("given a deeply nested message, when it is read on a short stack, then it is refused") {
+            val valid = encodeMessage(StateMessage.Changes(listOf("one", "two"), HeldReport(2, 1, 1, true)))
+            val list = byteArrayOf(0x82.toByte(), 0x63) + "one".encodeToByteArray()
+            val unknownField = byteArrayOf(0xa1.toByte(), 0x18, 99)
+            withData(
+                nameFn = { it.name },
+                FrameCase("lists", ByteArray(MAX_PAYLOAD_BYTES) { 0x81.toByte() }),
+                FrameCase("lists without an end", ByteArray(MAX_PAYLOAD_BYTES) { 0x9f.toByte() }),
+                FrameCase("maps", ByteArray(MAX_PAYLOAD_BYTES) { if (it % 2 == 0) 0xa1.toByte() else 0 }),
+                FrameCase("tags", ByteArray(MAX_PAYLOAD_BYTES) { 0xc1.toByte() }),
+                FrameCase("lists in a known field", valid.replaced(list, ByteArray(50_000) { 0x81.toByte() })),
+                FrameCase("lists in an unknown field", unknownField + ByteArray(50_000) { 0x81.toByte() }),
+            ) { case ->
+                var refused: PeerMessage? = StateMessage.WantChanges(1)
+                val thread = Thread(null, { refused = decodeMessage(case.bytes) }, "reader", STACK_BYTES)
+                thread.start()
+                thread.join()
+                refused shouldBe null
+            }
+        }
+
         test("given an encoded message, when its bytes are mutated, then it is read or refused without an exception") {
             val random = Random(11)
             val bytes = encodeMessage(StateMessage.Changes(listOf("one", "two"), HeldReport(2, 1, 1, true)))
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/SocketPeerNetworkTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/peers/SocketPeerNetworkTest.kt
@@ -1,9 +1,11 @@
 package org.verbenagauge.entry.peers
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -15,6 +17,9 @@
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.model.PeerId
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -99,10 +104,56 @@
     }
 }
 
+private const val POISON = 4_711L
+
+/** Peer that knows the secret and sends what it is told to. */
+private class RawPeer(
+    entryId: String,
+    port: Int,
+) : AutoCloseable {
+    private val socket = Socket(HOST, port)
+    private val input = DataInputStream(socket.getInputStream())
+    private val output = DataOutputStream(socket.getOutputStream())
+    private val seals: ConnectionSeals
+
+    init {
+        val own = encodeHello(Hello(1, 1, PeerId(entryId, 1), ByteArray(NONCE_BYTES)))
+        write(own)
+        seals = connectionSeals(sharedSecret, own, read(), dialing = true)
+        send(ByteArray(0))
+        seals.receiving.open(read())
+    }
+
+    fun send(payload: ByteArray) = write(seals.sending.seal(payload))
+
+    /** Reads until the other side has closed the connection, or goes on with it. */
+    fun awaitEndOrKeepalive() {
+        try {
+            read()
+        } catch (_: IOException) {
+            return
+        }
+    }
+
+    override fun close() = socket.close()
+
+    private fun write(frame: ByteArray) {
+        output.writeInt(frame.size)
+        output.write(frame)
+    }
+
+    private fun read(): ByteArray = ByteArray(input.readInt()).also(input::readFully)
+}
+
 class SocketPeerNetworkTest :
     FunSpec({
         lateinit var scope: CoroutineScope
-        beforeTest { scope = CoroutineScope(SupervisorJob() + Dispatchers.IO) }
+        val failures = CopyOnWriteArrayList<Throwable>()
+        beforeTest {
+            failures.clear()
+            scope =
+                CoroutineScope(SupervisorJob() + Dispatchers.IO + CoroutineExceptionHandler { _, e -> failures += e })
+        }
         afterTest { scope.cancel() }
 
         test("given three entries with one seed, when they are told of each other, then all pairs exchange messages") {
@@ -148,6 +199,50 @@
                 .get() shouldBe 1
         }
 
+        context("given an authenticated peer that sends an odd message, when it is read, then others are served on") {
+            withData(
+                nameFn = { it.first },
+                "no message" to byteArrayOf(-1, -1),
+                "a list of 2147483647 messages" to byteArrayOf(0x9a.toByte(), 0x7f, -1, -1, -1),
+                "nested lists" to ByteArray(MAX_PAYLOAD_BYTES) { 0x81.toByte() },
+                "a message that a listener fails on" to encodeMessage(StateMessage.WantChanges(POISON)),
+            ) { (_, payload) ->
+                val entry = TestEntry(scope, "a")
+                entry.network.subscribe { _, message ->
+                    check((message as? StateMessage.WantChanges)?.afterVersion != POISON) { "poison" }
+                }
+                RawPeer("odd", entry.network.port()).use { odd ->
+                    odd.send(payload)
+                    odd.awaitEndOrKeepalive()
+                }
+                val other = TestEntry(scope, "b")
+                other.knows(entry)
+                meet(entry, other)
+                val message = StateMessage.Tell(HeldReport(version = 1))
+                await { other.network.send(entry.network.localId, message) }
+                while (entry.received.receive().second != message) yield()
+                failures shouldBe emptyList()
+            }
+        }
+
+        context("given an address that is none, when it is dialed, then others still connect") {
+            withData(
+                nameFn = { "${it.host}:${it.port}" },
+                PeerAddress(HOST, 70_000, "x"),
+                PeerAddress(HOST, -1, "x"),
+                PeerAddress(HOST, 0, "x"),
+                PeerAddress("", 1, "x"),
+                PeerAddress("256.256.256.256", 1, "x"),
+            ) { address ->
+                val one = TestEntry(scope, "a")
+                val other = TestEntry(scope, "b")
+                one.addresses += address
+                one.knows(other)
+                meet(one, other)
+                failures shouldBe emptyList()
+            }
+        }
+
         test("given a connection that goes silent, when its time has passed, then a fresh connection replaces it") {
             val listener = TestEntry(scope, "b")
             val relay = SilencingRelay(listener.network.port())
