A row of advice of another shape no longer ends the owner's term

What operators would see: the owner loses and takes the ownership again and again (CHILD_RESTARTED of 'ownership'), as long as the advisor answers with a row whose id or ticket is a list or an object; no pool is served meanwhile.

Cause: the rows were read with jsonPrimitive, which throws for other elements. The call for advice is a coroutine of the term, so the exception ended the term. A ticket of null was read as the text "null".

Evidence: OddAdviceTest, 4 of 7 cases red with the reading as it was (moved into readAdvice, no other change): three threw, one read "null". That the exception ends the term is read from the code, not run.

A row that names no id and ticket is now left out by itself; the others hold.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformAdvisor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformAdvisor.kt
@@ -1,7 +1,9 @@
 package org.verbenagauge.platform
 
 import io.ktor.network.selector.SelectorManager
-import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.ports.PlacementAdvisor
 import org.verbenagauge.http.HttpCall
@@ -23,18 +25,27 @@
         val wire = WireAdviseCall(step, workerIds)
         val body = wireJson.encodeToString(WireAdviseCall.serializer(), wire).encodeToByteArray()
         val outcome = pool.exchange(HttpCall("POST", "/v1/advise", body = body), TIMEOUT_MILLIS)
-        if (outcome !is HttpOutcome.Answered || outcome.status != OK) return null
-        val answer = decode(WireAdviseAnswer.serializer(), outcome.body) ?: return null
-        // A row holds the id of a worker and its ticket.
-        return answer.allowed
-            .filter { it.size >= 2 }
-            .associate { it[0].jsonPrimitive.content to it[1].jsonPrimitive.content }
+        return (outcome as? HttpOutcome.Answered)?.let(::readAdvice)
     }
 
     private companion object {
-        const val OK = 200
-
         // Calls of one entry are answered in turn.
         const val TIMEOUT_MILLIS = 2_000L
     }
 }
+
+private const val OK = 200
+
+/** Reads tickets by id of the worker; null when [answer] is no advice. */
+internal fun readAdvice(answer: HttpOutcome.Answered): Map<String, String>? {
+    if (answer.status != OK) return null
+    val advice = decode(WireAdviseAnswer.serializer(), answer.body) ?: return null
+    return advice.allowed.mapNotNull(::ticket).toMap()
+}
+
+// A row holds the id of a worker and its ticket.
+private fun ticket(row: JsonArray): Pair<String, String>? {
+    val workerId = (row.getOrNull(0) as? JsonPrimitive)?.contentOrNull ?: return null
+    val ticket = (row.getOrNull(1) as? JsonPrimitive)?.contentOrNull ?: return null
+    return workerId to ticket
+}
