A deeply nested document is left out before it is read

What operators would see: after one odd row op/evacuate/ZONE an entry follows no row of the operator any more, with one line UNEXPECTED_FAILURE: a new process never gets a configuration and is never ready. By the code, a running one stays at the one it has, and an odd listing of a worker or an odd answer of the advisor ends the owner's part in the same way; neither was run. Requirements and FillCount of a job overflow the same reader; what that does to the process was not run.

Cause: the reader of values of any shape (JsonElement) calls itself for each level of an array. StackOverflowError is an Error: decode does not map it and the supervisor does not restart what it ends. 1,000 levels are enough on the 256 KB of stack that threads have in production.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
@@ -139,15 +139,18 @@
         else -> null
     }
 
-/** Decodes the body of an answer; null when it has another shape. */
+/** Decodes the body of an answer; null when it has another shape, or nests more deeply than any of the platform. */
 internal fun <T> decode(
     serializer: KSerializer<T>,
     body: ByteArray,
-): T? =
-    try {
+): T? {
+    // The reader of values of any shape calls itself for each level, which would end the thread.
+    if (isNestedTooDeeply(body)) return null
+    return try {
         wireJson.decodeFromString(serializer, body.decodeToString())
     } catch (_: SerializationException) {
         null
     } catch (_: IllegalArgumentException) {
         null
     }
+}
