Ports, amounts and clocks that cannot be name no worker

What operators would see: an entry of another writer with port 70000, 0 or -1 counts as a worker of its pool; one with a room near 2^63 or below 0 takes part in sums over the pool, which overflow or lend room that is not there. A listing or answer with a clock near 2^63 puts the ends of leases into the past, so that runs count as given up while they run. The last two are read from the code.

Cause: only types were checked, not ranges.

Bounds stand in one place: amounts from 0 to 2^31 - 1, beyond every machine, with which sums over a fleet and products with times stay within 64 bits; clocks and starts within the numbers that JSON keeps exact; ports of TCP in parseHostPort, which settings use as well, where 0 stands for a free port. Rough figures of runs are brought within their bounds, since no run is left out for them. An odd entry names no worker, the others hold.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -23,6 +23,15 @@
 // Racks are told among the labels of a worker, in the form r1-3.
 internal val rackPattern = Regex("r\\d+-\\d+")
 
+/** Numbers that every reader of JSON keeps exact, RFC 8259, from 0. */
+internal val exactNumbers = 0L..9_007_199_254_740_991
+
+/**
+ * Amounts that a worker may report. The highest is beyond every machine, and sums over a fleet and products with times
+ * stay within 64 bits.
+ */
+internal val amounts = 0L..Int.MAX_VALUE
+
 /** Reads the operator's configuration; null when [value] is none. */
 internal fun readConfiguration(value: ByteArray): JobsConfiguration? {
     val wire = decode(WireConfig.serializer(), value) ?: return null
@@ -119,7 +128,10 @@
 ): ListedWorker? {
     val wire = decode(WireServer.serializer(), value) ?: return null
     if (wire.state != READY && wire.state != DRAINING) return null
-    val address = parseHostPort(wire.address) ?: return null
+    val address = parseHostPort(wire.address)?.takeIf { it.port > 0 } ?: return null
+    val coldMillis = wire.coldRemainingMs.toLong()
+    val isPossible = isPossible(wire.capacity) && coldMillis in amounts && wire.born in exactNumbers
+    if (!isPossible) return null
     return ListedWorker(
         address = WorkerAddress(workerId, address.host, address.port),
         serviceName = wire.service,
@@ -130,6 +142,8 @@
         isReady = wire.state == READY,
         bornUnixMillis = wire.born,
         machineId = wire.machine,
-        coldMillis = wire.coldRemainingMs.toLong(),
+        coldMillis = coldMillis,
     )
 }
+
+private fun isPossible(amount: WireAmount) = amount.cpu in amounts && amount.memMb in amounts && amount.gpu in amounts
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformStore.kt
@@ -190,9 +190,12 @@
     val port: Int,
 )
 
-/** Reads an address written as host:port; null when [text] has another form. */
+// Port 0 stands for a free one, where an address is listened at.
+private val ports = 0..65_535
+
+/** Reads an address written as host:port; null when [text] has another form, or no TCP port. */
 internal fun parseHostPort(text: String): HostPort? {
     val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
     val host = text.substringBeforeLast(':')
-    return HostPort(host, port).takeIf { host.isNotEmpty() }
+    return HostPort(host, port).takeIf { host.isNotEmpty() && port in ports }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WorkerAnswers.kt
@@ -37,7 +37,7 @@
     val unclear = OrderOutcome.Unanswered("unclear answer, status ${answer.status}")
     if (answer.status != OK) return refusalOf(answer)?.let { OrderOutcome.Refused(it) } ?: unclear
     val clockMillis = decode(WireOrderAnswer.serializer(), answer.body)?.clockMs ?: return unclear
-    return OrderOutcome.Done(clockMillis)
+    return if (clockMillis in exactNumbers) OrderOutcome.Done(clockMillis) else unclear
 }
 
 /** Reads the answer of a worker to a renewal. One that cannot be read as a whole may lack any run. */
@@ -47,6 +47,10 @@
         return ListingOutcome.Refused(refusal)
     }
     val held = decode(WireHeld.serializer(), answer.body) ?: return ListingOutcome.Unreadable("no listing")
+    // Ends of leases are reckoned from the clock; one near the highest number would put them into the past.
+    if (held.clockMs !in exactNumbers || held.born !in exactNumbers) {
+        return ListingOutcome.Unreadable("clock ${held.clockMs}, start ${held.born}")
+    }
     val running = held.running.map { listedRun(it) ?: return unreadable("runs", it) }
     val ended = held.finished.map { listedEnd(it) ?: return unreadable("ends", it) }
     return ListingOutcome.Listed(
@@ -68,6 +72,7 @@
 private const val RUN_FIELDS = 4
 private const val END_FIELDS = 5
 private const val PERCENT_FIELD = 3
+private const val FULL_PERCENT = 100
 private const val FIGURE_FIELD = 4
 private const val HOW_FIELD = 3
 private const val SAVED_FIELD = 4
@@ -78,7 +83,9 @@
     val taskId = text(row, 0)?.let(::parseTaskId) ?: return null
     val runId = number(row, 1) ?: return null
     val checkpoint = text(row, 2) ?: return null
-    return ListedRun(taskId, runId, checkpoint, figure(row, PERCENT_FIELD).toInt(), figure(row, FIGURE_FIELD).toLong())
+    val percent = figure(row, PERCENT_FIELD).toInt().coerceIn(0, FULL_PERCENT)
+    val figure = figure(row, FIGURE_FIELD).toLong().coerceIn(amounts)
+    return ListedRun(taskId, runId, checkpoint, percent, figure)
 }
 
 // A row of ends: number, task, run, how it ended, saved state.
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
@@ -94,4 +94,37 @@
                 listing.running.single().runId shouldBe 2
             }
         }
+
+        context("a listing with a clock or a number that cannot be is not read") {
+            withData(
+                nameFn = { it.take(60) },
+                held().replace("482113", "9223372036854775807"),
+                held().replace("482113", "-1"),
+                held().replace("482113", "1e400"),
+                held().replace("1700000000000", "-1"),
+                held().replace("1700000000000", "123456789012345678901234567890"),
+                held(running = RUN.replace(",2,", ",1e400,")),
+                held(running = RUN.replace(",2,", ",123456789012345678901234567890,")),
+            ) { text -> read(text).shouldBeInstanceOf<ListingOutcome.Unreadable>() }
+        }
+
+        context("rough figures that cannot be are brought within their bounds") {
+            withData(
+                nameFn = { "${it.first}" },
+                "41" to 41,
+                "-5" to 0,
+                "1e400" to 100,
+                "1e9" to 100,
+                "NaN" to 0,
+            ) { (figure, percent) ->
+                val listing = read(held(running = RUN.replace(",41,7", ",$figure,$figure")))
+                val run =
+                    listing
+                        .shouldBeInstanceOf<ListingOutcome.Listed>()
+                        .listing.running
+                        .single()
+                run.percent shouldBe percent
+                (run.figure in 0..Int.MAX_VALUE) shouldBe true
+            }
+        }
     })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OrderAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OrderAnswerTest.kt
@@ -23,6 +23,9 @@
                 OrderCase("accepted", 200, """{"ClockMs":482113}""", isDone = true),
                 OrderCase("accepted without the clock", 200, "{}"),
                 OrderCase("accepted in words", 200, "ok"),
+                OrderCase("accepted with a clock below 0", 200, """{"ClockMs":-1}"""),
+                OrderCase("accepted with the highest clock", 200, """{"ClockMs":9223372036854775807}"""),
+                OrderCase("accepted with a clock of 30 digits", 200, """{"ClockMs":123456789012345678901234567890}"""),
                 OrderCase("a higher token was seen", 409, """{"ClockMs":1,"Reason":"fence"}""", StartRefusal.FENCED),
                 OrderCase("an old run", 409, """{"ClockMs":1,"Reason":"old"}""", StartRefusal.OLD_RUN),
                 OrderCase(
