A row that cannot be applied holds up no other row

What operators would see: one row on which the reader's callback throws ends what follows its table. The operator's rows, the states and the directory of entries are read again from the start every 200 ms, up to the same row; for workers and jobs the owner's term ends and begins anew. Nothing behind the row is ever read.

Cause: TableFollower passed an exception of a callback on, with the whole batch and the feed.

The follower now applies the rows of such a batch one by one, logs each that fails as DOCUMENT_UNREADABLE with its cause, and reads the table whole without it. Rows could be applied twice before, after a gap in the feed. A failure that is due to no row is passed on as before. Errors are not caught.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -55,7 +55,7 @@
     private val takeoverRank = TakeoverRank(entryId, cores)
     private var evacuatedZoneIds: Set<String> = emptySet()
     private var reachableCores: () -> Collection<Double> = { emptyList() }
-    private val catalogue = StateCatalogue(ports.store, clock)
+    private val catalogue = StateCatalogue(ports.store, clock, log)
     private val ownership =
         Ownership(
             entryId = entryId,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/StateCatalogue.kt
@@ -11,6 +11,7 @@
 import org.verbenagauge.entry.jobs.records.OwnerRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.StateRecord
+import org.verbenagauge.entry.logging.EventLog
 
 /**
  * The owner's row as an entry last read it.
@@ -31,8 +32,10 @@
 internal class StateCatalogue(
     store: RowStore,
     private val clock: Clock,
+    log: EventLog,
 ) {
-    private val follower = TableFollower(store, listOf(StoredTables.states), FEED_WAIT_MILLIS, FEED_PAUSE_MILLIS)
+    private val follower =
+        TableFollower(store, listOf(StoredTables.states), FEED_WAIT_MILLIS, FEED_PAUSE_MILLIS, log)
     private val states =
         object : LinkedHashMap<String, JobState>() {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobState>) = size > MAX_STATES
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -83,6 +83,7 @@
                             engine,
                             clock,
                             workVersion,
+                            log,
                             cleaner::recordRefusal,
                             ::wake,
                         ).run()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
@@ -1,20 +1,26 @@
 package org.verbenagauge.entry.jobs.owner
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowBatch
 import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StoredRow
+import org.verbenagauge.entry.logging.Event
+import org.verbenagauge.entry.logging.EventLog
 
 /**
  * Follows partitions of one table: reads them in full, then reads their changes. Reads them in full again when the
- * change history is gone or the feed has failed several times in a row.
+ * change history is gone or the feed has failed several times in a row. A row that cannot be applied is logged and left
+ * out, so that it holds up neither the other rows nor later changes.
  */
 internal class TableFollower(
     private val store: RowStore,
     private val places: List<RowPlace>,
     private val waitMillis: Long,
     private val pauseMillis: Long,
+    private val log: EventLog,
 ) {
     /**
      * Runs until cancelled; reports after each call to [onContact] whether the store answered. Starts with the
@@ -32,7 +38,7 @@
             when (val all = store.readAll(places)) {
                 is ReadResult.Read -> {
                     onContact(true)
-                    onAll(all.value)
+                    applyAll(all.value, onAll, onChanges)
                     follow(all.value.version, onChanges, onContact)
                 }
 
@@ -58,7 +64,7 @@
                     is ReadResult.Read -> {
                         onContact(true)
                         failures = 0
-                        if (read.value.rows.isNotEmpty()) onChanges(read.value)
+                        if (read.value.rows.isNotEmpty()) applyChanges(read.value, onChanges)
                         version = maxOf(version, read.value.version)
                         delay(pauseMillis)
                     }
@@ -78,6 +84,48 @@
         }
     }
 
+    // A second failure is not due to any row and is passed on.
+    private fun applyAll(
+        batch: RowBatch,
+        onAll: (RowBatch) -> Unit,
+        onChanges: (RowBatch) -> Unit,
+    ) {
+        if (failureOf { onAll(batch) } == null) return
+        onAll(RowBatch(applicableRows(batch, onChanges), batch.version))
+    }
+
+    private fun applyChanges(
+        batch: RowBatch,
+        onChanges: (RowBatch) -> Unit,
+    ) {
+        if (failureOf { onChanges(batch) } != null) applicableRows(batch, onChanges)
+    }
+
+    // Applies the rows one by one and returns those that can be applied. Rows may be applied several times, as after a
+    // gap in the feed.
+    private fun applicableRows(
+        batch: RowBatch,
+        onChanges: (RowBatch) -> Unit,
+    ): List<StoredRow> =
+        batch.rows.filter { row ->
+            val failure = failureOf { onChanges(RowBatch(listOf(row), batch.version)) }
+            if (failure != null) {
+                log.write(Event.DOCUMENT_UNREADABLE, row.key, "${row.table}, version ${row.version}: $failure")
+            }
+            failure == null
+        }
+
+    @Suppress("TooGenericExceptionCaught")
+    private inline fun failureOf(apply: () -> Unit): Exception? =
+        try {
+            apply()
+            null
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            e
+        }
+
     private companion object {
         const val RETRY_MILLIS = 150L
         const val MAX_FAILURES = 3
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
@@ -7,6 +7,7 @@
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.logging.EventLog
 
 /** Feeds accepted jobs and cancellations from the store to the engine. */
 internal class WorkFollower(
@@ -14,10 +15,11 @@
     private val engine: JobEngine,
     private val clock: Clock,
     private val readVersion: Long,
+    log: EventLog,
     private val onRefusal: (jobId: String, version: Long) -> Unit = { _, _ -> },
     private val onChange: () -> Unit,
 ) {
-    private val follower = TableFollower(store, StoredTables.work, FEED_WAIT_MILLIS, pauseMillis = 0)
+    private val follower = TableFollower(store, StoredTables.work, FEED_WAIT_MILLIS, pauseMillis = 0, log)
 
     private var callSentAtMillis = clock.monotonicMillis()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/EntryDirectory.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/relay/EntryDirectory.kt
@@ -15,6 +15,7 @@
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.logging.EventLog
 import org.verbenagauge.entry.peers.PeerAddress
 import java.security.SecureRandom
 
@@ -40,8 +41,9 @@
     private val clock: Clock,
     private val self: PeerAddress,
     private val ownCores: Double,
+    log: EventLog,
 ) {
-    private val follower = TableFollower(store, listOf(place), FEED_WAIT_MILLIS, pauseMillis = 0)
+    private val follower = TableFollower(store, listOf(place), FEED_WAIT_MILLIS, pauseMillis = 0, log)
     private val recordByEntry = HashMap<String, EntryRecord>()
     private val sharedSecret = CompletableDeferred<ByteArray>()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -79,7 +79,7 @@
     private val peerAddress = parseHostPort(settings.listeners.peers)
     private val directory =
         peerAddress?.let {
-            EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id), settings.limits.cores)
+            EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id), settings.limits.cores, log)
         }
     private val jobs =
         JobRuntime(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
@@ -32,7 +32,7 @@
 ) {
     private val evacuations = EvacuationRows(::unreadable)
     private val follower =
-        TableFollower(store, listOf(RowPlace(OPERATOR_TABLE)), CONFIGURATION_WAIT_MILLIS, pauseMillis = 0)
+        TableFollower(store, listOf(RowPlace(OPERATOR_TABLE)), CONFIGURATION_WAIT_MILLIS, pauseMillis = 0, log)
 
     /** Runs until cancelled. */
     suspend fun run() {
@@ -72,7 +72,8 @@
     store: RowStore,
     private val log: EventLog,
 ) : WorkerList {
-    private val follower = TableFollower(store, listOf(RowPlace(WORKER_TABLE)), WORKER_WAIT_MILLIS, WORKER_PAUSE_MILLIS)
+    private val follower =
+        TableFollower(store, listOf(RowPlace(WORKER_TABLE)), WORKER_WAIT_MILLIS, WORKER_PAUSE_MILLIS, log)
 
     override suspend fun follow(
         onAll: (List<ListedWorker>) -> Unit,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobAdmissionTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobAdmissionTest.kt
@@ -27,6 +27,7 @@
 import org.verbenagauge.entry.load.AdmissionDecision
 import org.verbenagauge.entry.load.LoadPressure
 import org.verbenagauge.entry.load.QueuePressure
+import org.verbenagauge.entry.logging.EventLog
 
 private val pressure = LoadPressure(mapOf(QUEUE to QueuePressure(60_000, 60_000)), ageMillis = 100)
 
@@ -71,7 +72,7 @@
 
             override fun wallMillis() = scope.testScheduler.currentTime + 10_000
         }
-    val catalogue = StateCatalogue(store, clock)
+    val catalogue = StateCatalogue(store, clock, EventLog("a"))
     private val admission = JobAdmission(catalogue, clock, { isEnabled })
 
     fun refuses(record: JobRecord = job(step(1))): Boolean =
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobFrontTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobFrontTest.kt
@@ -14,6 +14,7 @@
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.StateRecord
+import org.verbenagauge.entry.logging.EventLog
 
 private const val JOB = "00000000000000aa"
 
@@ -31,7 +32,7 @@
 
 private fun front(store: MemoryRowStore): JobFront {
     val clock = AdvancingClock()
-    return JobFront(store, StateCatalogue(store, clock), clock)
+    return JobFront(store, StateCatalogue(store, clock, EventLog("a")), clock)
 }
 
 private data class SubmitCase(
@@ -99,7 +100,7 @@
 
         test("a cancellation is confirmed only after it is stored") {
             val store = MemoryRowStore()
-            val front = JobFront(store, StateCatalogue(store, systemClock()), AdvancingClock())
+            val front = JobFront(store, StateCatalogue(store, systemClock(), EventLog("a")), AdvancingClock())
             front.submit(JOB, job(step(1)), 200)
             store.faults += List(1_000) { StoreFault.REFUSED }
             front.cancel(JOB, 400)::class shouldBe CancelOutcome.Unsettled::class
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/RefusedJobTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/RefusedJobTest.kt
@@ -16,6 +16,7 @@
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.load.AdmissionDecision
+import org.verbenagauge.entry.logging.EventLog
 
 private const val JOB = "00000000000000aa"
 private val refusal = AdmissionDecision.Refuse(true, 9_000, 8_000, 300, 2_000)
@@ -64,7 +65,7 @@
     store: RowStore,
 ) {
     val clock = SteppedClock()
-    val catalogue = StateCatalogue(store, clock)
+    val catalogue = StateCatalogue(store, clock, EventLog("a"))
     private val front = JobFront(store, catalogue, clock)
 
     suspend fun submit(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/FuzzEntry.kt
@@ -64,7 +64,7 @@
         env.trace.add { "entry $id starts" }
         val process = VirtualProcess(env.time, env.random, wallBaseMillis, env.oracle::entryFailed)
         val store = EntryStore(id, process, env.time, env.store, env.storeFaults, env.trace)
-        val catalogue = StateCatalogue(store, process)
+        val catalogue = StateCatalogue(store, process, fuzzLog)
         val network =
             EntryPeers(PeerId(id, incarnation), process, env.time, env.networkFaults) {
                 allEntries().filter { it !== this }.mapNotNull { it.peers }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/JobStoredDuringTakeoverTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/JobStoredDuringTakeoverTest.kt
@@ -27,6 +27,7 @@
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
+import org.verbenagauge.entry.logging.EventLog
 
 private const val JOB = "0000000000000001"
 private const val WORK_READ_VERSION = 5L
@@ -77,7 +78,8 @@
                     engine.state.isWorkerListKnown = true
                     // Accepted jobs have been read by now; reading states, progress and roster takes longer.
                     advanceTimeBy(case.loadMillis)
-                    val follower = WorkFollower(StoreWithLaterJob(), engine, clock, WORK_READ_VERSION) { }
+                    val follower =
+                        WorkFollower(StoreWithLaterJob(), engine, clock, WORK_READ_VERSION, EventLog("a")) { }
                     val running = backgroundScope.launch { follower.run() }
                     listOf("w1", "w2").forEach { engine.addInheritedWorker(worker(it), clock.monotonicMillis()) }
                     engine.handleListing("w2", listing(), clock.monotonicMillis(), clock.monotonicMillis())
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TableFollowerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TableFollowerTest.kt
@@ -15,6 +15,7 @@
 import org.verbenagauge.entry.jobs.ports.RowFeed
 import org.verbenagauge.entry.jobs.ports.RowPlace
 import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.logging.EventLog
 
 private val place = RowPlace("op")
 
@@ -50,7 +51,13 @@
                 val seen = ArrayList<Byte>()
                 val take: (RowBatch) -> Unit = { batch -> batch.rows.mapNotNullTo(seen) { it.value?.first() } }
                 val follower =
-                    TableFollower(StoreWithLaggingFeed(rows), listOf(place), waitMillis = 1_000, pauseMillis = 0)
+                    TableFollower(
+                        StoreWithLaggingFeed(rows),
+                        listOf(place),
+                        waitMillis = 1_000,
+                        pauseMillis = 0,
+                        EventLog("a"),
+                    )
                 val running = backgroundScope.launch { follower.run(onAll = take, onChanges = take, readVersion = 1) }
                 advanceTimeBy(4_000)
                 running.cancel()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithSlowStoreTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithSlowStoreTest.kt
@@ -103,7 +103,7 @@
     val tasks =
         backgroundScope.launch {
             listOf("a", "b").forEachIndexed { rank, id ->
-                val catalogue = StateCatalogue(store, clock)
+                val catalogue = StateCatalogue(store, clock, EventLog("a"))
                 val log =
                     EventLog(id) { event ->
                         if (event == Event.OWNERSHIP_LOST) lost += "$id at ${testScheduler.currentTime}"
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithoutRosterTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithoutRosterTest.kt
@@ -82,7 +82,7 @@
     store.transact(emptyList(), listOf(RowChange(place, StoredTables.jobKey(JOB), bytes)), 100)
     val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, ownerBytes ?: OwnerLease.encode(owner))
     store.transact(emptyList(), listOf(row), 100)
-    val catalogue = StateCatalogue(store, clock)
+    val catalogue = StateCatalogue(store, clock, EventLog("a"))
     val workers = SingleWorker()
     val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
     val ownership =
