--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -79,7 +79,7 @@
     private val peerAddress = parseHostPort(settings.listeners.peers)
     private val directory =
         peerAddress?.let {
-            EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id), settings.limits.cores)
+            EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id), settings.limits.cores, log)
         }
     private val jobs =
         JobRuntime(
@@ -160,7 +160,7 @@
                 load = it.load
             }
         watch.listen()
-        scope.launch { watch.run() }
+        scope.launch { supervise(child("settings watch", watch::run), log) }
     }
 
     private suspend fun connectPeers(directory: EntryDirectory) {
