A machine that one list lacks has not left the platform

The list is read in pages, so a machine that moves meanwhile may be on none of them. Now a machine is gone when all lists read over two seconds have lacked it, and only a list that shows the machine tells that its worker has stopped. A wave whose last machine has left is completed two seconds later. WaveDrainPlannerTest asked that a single list completes the wave; it now asks that the first list does not, that one two seconds later does, and that a machine that is listed again opens the wave as before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveDrainPlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveDrainPlanner.kt
@@ -12,7 +12,7 @@
  *
  * @property order machines whose maintenance is to be ordered now.
  * @property stop lasting runs to stop before maintenance, because other tasks of their step run on the same worker.
- * @property isFinished whether every machine of the wave that is still listed has begun its maintenance.
+ * @property isFinished whether every machine of the wave that has not left the platform has begun its maintenance.
  */
 internal data class WaveStep(
     val order: List<Machine>,
@@ -43,6 +43,7 @@
         others: Collection<WaveProgress> = emptyList(),
     ): WaveStep {
         val byId = machines.associateBy { it.machineId }
+        (others + progress).forEach { it.recordList(byId, readAtMillis) }
         val open = progress.wave.machineIds.filter { it !in progress.done && it in byId }
         val down = down(progress, byId, readAtMillis)
         startDraining(progress, open.mapNotNull(byId::get), down, now)
@@ -77,7 +78,8 @@
         }
         val remaining = progress.wave.maxAtOnce - (down + order.map { it.machineId }).size
         order += idle(open, progress, byId).take(maxOf(0, remaining))
-        return WaveStep(order, stop, isFinished = open.isEmpty())
+        val isFinished = progress.wave.machineIds.all { it in progress.done || progress.isGone(it, readAtMillis) }
+        return WaveStep(order, stop, isFinished)
     }
 
     // Workers that an order has ended or may still end. Their last listing of runs is outdated until the list of
@@ -133,12 +135,11 @@
         readAtMillis: Long,
     ): Set<String> {
         progress.orderedAtMillis.entries.removeIf { (id, orderedAt) ->
-            val isBack = byId[id]?.isUp ?: true
+            val isBack = byId[id]?.isUp ?: progress.isGone(id, readAtMillis)
             id in progress.done && isBack && readAtMillis > orderedAt + LIST_DELAY_MILLIS
         }
         // A previous owner may have ordered maintenance of these machines.
-        val listed = progress.wave.machineIds.filter { byId[it]?.isInMaintenance ?: false }
-        return progress.orderedAtMillis.keys + listed
+        return progress.orderedAtMillis.keys + progress.inMaintenance
     }
 
     private fun startDraining(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveProgress.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.verbenagauge.entry.jobs.model.MaintenanceWave
+import org.verbenagauge.entry.jobs.ports.Machine
 
 /**
  * Stored progress of a maintenance wave.
@@ -46,6 +47,36 @@
     /** Machines whose order was sent and has not returned yet. */
     val inFlight = HashSet<String>()
 
+    // When the first of the lists was read that have lacked a machine ever since, by machine.
+    private val missingSinceMillis = HashMap<String, Long>()
+
+    /** Machines that are down for maintenance according to the last list that contained them. */
+    val inMaintenance = HashSet<String>()
+
+    /** Applies the list of machines [byId] that was read at [readAtMillis]. */
+    fun recordList(
+        byId: Map<String, Machine>,
+        readAtMillis: Long,
+    ) {
+        wave.machineIds.forEach { id ->
+            val machine = byId[id]
+            if (machine == null) missingSinceMillis.putIfAbsent(id, readAtMillis) else missingSinceMillis.remove(id)
+            if (machine?.isInMaintenance == true) inMaintenance += id
+            if (machine?.isInMaintenance == false || isGone(id, readAtMillis)) inMaintenance -= id
+        }
+    }
+
+    /** Whether [machineId] has left the platform; a single list may lack a machine that stays. */
+    fun isGone(
+        machineId: String,
+        readAtMillis: Long,
+    ): Boolean = missingSinceMillis[machineId]?.let { readAtMillis - it >= GONE_MILLIS } ?: false
+
     /** Returns the record to store. */
     fun record() = WaveRecord(done.sorted(), isCompleted, firstSeenUnixMillis)
+
+    private companion object {
+        // Four readings of the list.
+        const val GONE_MILLIS = 2_000L
+    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/WaveRunner.kt
@@ -162,7 +162,7 @@
             cache.read()
             if (cache.readAtMillis < doneAtMillis) return@repeat delay(TICK_MILLIS)
             val listed = cache.machines.firstOrNull { it.machineId == machine.machineId }
-            if (listed == null || !listed.isUp || listed.workerId != workerId) {
+            if (listed != null && (!listed.isUp || listed.workerId != workerId)) {
                 engine.handleMachineStopped(workerId, clock.monotonicMillis())
                 return
             }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveDrainPlannerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/fleet/WaveDrainPlannerTest.kt
@@ -210,11 +210,12 @@
             step.order.size shouldBe 6
         }
 
-        test("a wave is finished when every machine that is still listed has begun its maintenance") {
+        test("a wave is finished when every machine that has not left the platform has begun its maintenance") {
             val engine = readyEngine("w1", "w2", "w3")
             val progress = progress(3, maxAtOnce = 3)
             progress.done += listOf("m1", "m2")
-            planner(engine).next(progress, listOf(machine(1), machine(2)), 10, 20).isFinished shouldBe true
-            planner(engine).next(progress, listOf(machine(1), machine(3)), 10, 20).isFinished shouldBe false
+            planner(engine).next(progress, listOf(machine(1), machine(2)), 10, 20).isFinished shouldBe false
+            planner(engine).next(progress, listOf(machine(1), machine(2)), 2_010, 2_020).isFinished shouldBe true
+            planner(engine).next(progress, listOf(machine(1), machine(3)), 2_510, 2_520).isFinished shouldBe false
         }
     })
