A wave that cannot be read is neither a wave of no machines nor taken back

An operator would read that a wave is completed although none of its machines has begun its maintenance: a row without Machines was taken for a wave of none, which has nothing left to do. A row of another shape was taken for a removed one, so that a wave in progress stopped without a line in the log. A row that names an empty list of machines is still a wave of none.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -27,7 +27,6 @@
 import org.verbenagauge.entry.jobs.JobRuntime
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.fleet.WavePorts
-import org.verbenagauge.entry.jobs.model.MaintenanceWave
 import org.verbenagauge.entry.jobs.owner.OwnerSettings
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
@@ -73,7 +72,8 @@
         }
     private val scope = CoroutineScope(SupervisorJob() + dispatcher + failures)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val waves = HashMap<String, MaintenanceWave>()
+    private val waves =
+        WaveRows { log.write(Event.DOCUMENT_UNREADABLE, it, "what was read before stays in force") }
     private val link = StoreLink(selector, address(settings.platform.store), clock, scope, log, metrics)
     private val store = PlatformStore(link)
     private val peerAddress = parseHostPort(settings.listeners.peers)
@@ -98,7 +98,7 @@
             cores = settings.limits.cores,
             limits = { engineLimits(limits) },
         )
-    private val documents = OperatorDocuments(store, log, jobs::configure, ::wave, jobs::evacuate)
+    private val documents = OperatorDocuments(store, log, jobs::configure, waves::take, jobs::evacuate)
     private val callerServer = server(settings.listeners.caller) { clientRoutes(jobs.calls, dispatcher) }
     private val metricsServer =
         settings.listeners.metrics.ifEmpty { null }?.let {
@@ -175,20 +175,12 @@
         supervise(child("peers", network::run), log)
     }
 
-    private fun wave(
-        key: String,
-        value: ByteArray?,
-    ) {
-        val wave = value?.let { readWave(key, it) }
-        if (wave == null) waves.remove(key) else waves[key] = wave
-    }
-
     private fun wavePorts(address: HostPort) =
         WavePorts(
             machines = PlatformMachines(settings.entry.id, selector, address, clock),
             store = store,
             reports = platformWaveReports,
-            waves = waves::values,
+            waves = { waves.requested },
             ordersPerSecond = settings.limits.machineOrders,
         )
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -22,7 +22,10 @@
 private const val UNAVAILABLE = 503
 private const val TIMEOUT_MILLIS = 1_500L
 private const val STATUS_TABLE = "status"
-private const val WAVE_PREFIX = "wave/"
+
+/** Start of the keys of waves, both in the operator's rows and in the rows that report them. */
+internal const val WAVE_PREFIX = "wave/"
+
 private const val MILLIS_PER_SECOND = 1_000
 
 /** The platform's machines over HTTP. */
@@ -113,12 +116,8 @@
         else -> MachineOutcome.Unanswered("refused for an unknown reason: $reason")
     }
 
-/** Reads a wave; null when the row is none. */
-internal fun readWave(
-    key: String,
-    value: ByteArray,
-): MaintenanceWave? {
-    if (!key.startsWith(WAVE_PREFIX)) return null
+/** Reads a wave; null when [value] is none. */
+internal fun readWave(value: ByteArray): MaintenanceWave? {
     val wire = decode(WireWave.serializer(), value) ?: return null
     val durationMillis = (wire.durationS * MILLIS_PER_SECOND).toLong()
     return MaintenanceWave(wire.wave, wire.machines, durationMillis, maxOf(1, wire.maxCount))
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -258,7 +258,8 @@
 @Serializable
 internal data class WireWave(
     @SerialName("Wave") val wave: Long,
-    @SerialName("Machines") val machines: List<String> = emptyList(),
+    // Without a default: a row that lacks them is no wave of no machines.
+    @SerialName("Machines") val machines: List<String>,
     @SerialName("DurationS") val durationS: Double = 0.0,
     // Most machines that may be down at once.
     @SerialName("MaxCount") val maxCount: Int = 1,
