A row that does not tell what became of a job is no answer about it

A caller would be told 200 for a job that is not stored, 410 for one that has a state, or 'queued' for one that has ended: in place of the job, every row that is no refusal was taken for the job, also one that cannot be read, one without a value, and a conflict whose answer lacks the row. A state that cannot be read was taken for none. Now only a job or the tombstone of one that has ended confirms a submission, only a missing row or a refusal means that there is no such job, and all else is answered as what it is, not known, so that the caller asks again.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
@@ -7,7 +7,6 @@
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowStore
-import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
@@ -46,7 +45,7 @@
     /** There is no such job. */
     public data object Unknown : JobLookup
 
-    /** The store did not answer, because of [cause]. */
+    /** The store did not tell, because of [cause]. */
     public data class Unavailable(
         val cause: String,
     ) : JobLookup
@@ -124,13 +123,24 @@
         if (work !is ReadResult.Read) return JobLookup.Unavailable("$work")
         val state = store.read(StoredTables.states, StoredTables.stateKey(jobId), attemptMillis(deadlineMillis))
         if (state !is ReadResult.Read) return JobLookup.Unavailable("$state")
-        val record = state.value?.value?.let { RecordCodec.decode(StateRecord.serializer(), it) }
-        val found =
-            record?.state
-                ?: JobState.QUEUED.takeIf { work.value?.isBar() == false }
-                ?: return JobLookup.Unknown
-        catalogue.recordState(jobId, found)
-        return JobLookup.Found(found)
+        val lookup = interpret(work.value?.value, state.value?.value)
+        if (lookup is JobLookup.Found) catalogue.recordState(jobId, lookup.state)
+        return lookup
+    }
+
+    private fun interpret(
+        job: ByteArray?,
+        state: ByteArray?,
+    ): JobLookup {
+        if (state != null) {
+            val record = RecordCodec.decode(StateRecord.serializer(), state)
+            return record?.let { JobLookup.Found(it.state) } ?: JobLookup.Unavailable("the state cannot be read")
+        }
+        return when {
+            job == null || StoredTables.isBar(job) -> JobLookup.Unknown
+            StoredTables.isJob(job) -> JobLookup.Found(JobState.QUEUED)
+            else -> JobLookup.Unavailable("the row of the job does not tell its state")
+        }
     }
 
     /** Stores the cancellation of [jobId], retrying until [deadlineMillis] on the monotonic clock. */
@@ -174,8 +184,6 @@
         )
     }
 
-    private fun StoredRow.isBar() = value?.let(StoredTables::isBar) == true
-
     private fun attemptMillis(deadlineMillis: Long): Long =
         JobWriter.attemptMillis(deadlineMillis - clock.monotonicMillis())
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobWriter.kt
@@ -64,8 +64,14 @@
                 }
 
                 is TransactionOutcome.Conflict -> {
-                    onConflict(outcome.rows.firstOrNull { it.key == key })?.let { return it }
-                    continue
+                    val row = outcome.rows.firstOrNull { it.key == key && it.value != null }
+                    if (row != null || version != 0L) {
+                        onConflict(row)?.let { return it }
+                        continue
+                    }
+                    // There is a row, but the answer does not show whether it is the job.
+                    mayBeStored = true
+                    cause = "conflict with a row that the answer lacks"
                 }
 
                 is TransactionOutcome.Unknown -> {
@@ -112,11 +118,15 @@
 
     // Returns null when the write is to be retried.
     private fun onConflict(row: StoredRow?): SubmitOutcome? {
-        if (row == null && version != 0L) {
+        val value = row?.value
+        if (value == null) {
             version = 0
             return null
         }
-        val stored = row?.value?.let { RecordCodec.decode(RefusalRecord.serializer(), it) } ?: return accepted()
+        if (StoredTables.isJob(value) || StoredTables.isEndedTombstone(value)) return accepted()
+        val stored =
+            RecordCodec.decode(RefusalRecord.serializer(), value)
+                ?: return SubmitOutcome.Unsettled("the row in place of the job cannot be read")
         refusals = stored.refusals
         decision = decide(refusals)
         if (row.version > knownVersion) {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.owner
 
 import org.verbenagauge.entry.jobs.ports.RowPlace
+import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.RefusalRecord
 
@@ -51,6 +52,9 @@
     /** Returns the id of the job that [key] cancels, or null if it cancels none. */
     fun cancelledId(key: String): String? = key.takeIf { it.startsWith(CANCEL_PREFIX) }?.removePrefix(CANCEL_PREFIX)
 
+    /** Whether [value] is an accepted job. */
+    fun isJob(value: ByteArray): Boolean = RecordCodec.decode(JobRecord.serializer(), value) != null
+
     /** Whether [value] marks a job that was refused. */
     fun isBar(value: ByteArray): Boolean = RecordCodec.decode(RefusalRecord.serializer(), value) != null
 
