A pool with a worker of unknown capacity still needs machines

Jobs would wait beside free machines after a takeover: a pool is sized by the capacity of its first worker. Workers of earlier owners come first, and one that the platform's list lacks has no known capacity. That was taken for a demand of no machines, so the pool got the least size until the worker was given up, and its idle machines went to standby. An entry without Capacity did the same. Now the first worker of known capacity counts, of the pool or else of any.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -99,7 +99,7 @@
         now: Long,
     ): PoolBalance {
         val workers = state.workersOf(pool)
-        val capacity = workers.firstOrNull()?.listed?.capacity ?: fallbackCapacity()
+        val capacity = capacityOfOne(workers) ?: capacityOfOne(state.workers.values) ?: Amount()
         val used = workers.fold(Amount()) { sum, worker -> sum + (worker.listed.capacity - worker.free) }
         val missing =
             (state.missingRoomByService[pool] ?: MissingCapacity()) +
@@ -129,11 +129,9 @@
         machines: List<Machine>,
     ): Boolean = machines.any { it.machineId == move.machine.machineId && it.poolName == move.poolName && !it.isUp }
 
-    private fun fallbackCapacity(): Amount =
-        state.workers.values
-            .firstOrNull()
-            ?.listed
-            ?.capacity ?: Amount()
+    // Workers that the platform's list lacks or does not describe have no known capacity.
+    private fun capacityOfOne(workers: Collection<WorkerEntry>): Amount? =
+        workers.firstOrNull { it.listed.capacity != Amount() }?.listed?.capacity
 
     private fun idle(
         balance: PoolBalance,
