--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/UnknownCountToldAsNoneTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/UnknownCountToldAsNoneTest.kt
@@ -11,6 +11,7 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.QUEUE
 import org.verbenagauge.entry.jobs.records.OwnerRecord
+import org.verbenagauge.entry.logging.EventLog
 
 private const val LOST = "lost"
 private const val NEXT = "next"
@@ -39,7 +40,7 @@
             override fun wallMillis() = testScheduler.currentTime + 10_000
         }
     val store = FollowedStore()
-    val catalogue = StateCatalogue(store, clock)
+    val catalogue = StateCatalogue(store, clock, EventLog("a"))
     val counts = PendingCounts(catalogue, clock)
     backgroundScope.launch { catalogue.run() }
     act(store)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/DeeplyNestedDocumentTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/DeeplyNestedDocumentTest.kt
@@ -50,7 +50,7 @@
             """{"Version":1,"x":#}""",
             "1",
         ) { readConfiguration(it.encodeToByteArray()) != null },
-        Reader("a wave", """{"Wave":1,"x":#}""", "1") { readWave("wave/1", it.encodeToByteArray()) != null },
+        Reader("a wave", """{"Wave":1,"Machines":[],"x":#}""", "1") { readWave(it.encodeToByteArray()) != null },
         Reader("an evacuation", """{"x":#}""", "1", ::isEvacuated),
         Reader("a job, required label", """{"Steps":[{"Count":1,"Requirements":#}]}""", "\"a\"") {
             readJob(it.encodeToByteArray()) != null
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
@@ -15,6 +15,7 @@
 import org.verbenagauge.entry.jobs.front.JobAdmission
 import org.verbenagauge.entry.jobs.front.JobCalls
 import org.verbenagauge.entry.jobs.front.JobFront
+import org.verbenagauge.entry.jobs.front.PendingCounts
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
@@ -125,12 +126,14 @@
         val dispatcher = executor.asCoroutineDispatcher()
         val clock = systemClock()
         val store = MemoryRowStore()
-        val catalogue = StateCatalogue(store, clock)
+        val log = EventLog("e")
+        val catalogue = StateCatalogue(store, clock, log)
         val calls =
             JobCalls(
                 JobFront(store, catalogue, clock),
+                PendingCounts(catalogue, clock),
                 clock,
-                EventLog("e"),
+                log,
                 JobMetrics(PrometheusRegistry()),
                 JobAdmission(catalogue, clock, isEnabled = { false }),
             )
