Capacity that was not read yet does not make a wait

After a takeover a caller would be refused for load beside free machines: until the owner had first read the list of machines, standby counted as none, and a worker that it had just begun to ask counted as no room. The rate of a pool that has just become full is its room with the room that it may gain, so the wait of new jobs was told too long.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/PressureMeter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/PressureMeter.kt
@@ -26,8 +26,8 @@
     private var measuredAtMillis = Long.MIN_VALUE / 2
     private var pressure = LoadPressure()
 
-    /** Returns the number of running machines of a pool; set by the owner. */
-    var machinesUp: (serviceName: String) -> Int = { 0 }
+    /** Returns the number of running machines of a pool, or null before the machines are listed; set by the owner. */
+    var machinesUp: (serviceName: String) -> Int? = { 0 }
 
     /**
      * Adds [job] to the backlog. Lasting and scheduled jobs are left out: they are never refused and get capacity
@@ -80,8 +80,9 @@
         val standbyMachines =
             current.services.values
                 .filter { it.isStandby }
-                .sumOf { machinesUp(it.name) }
-        val rooms = services.map { room(it, standbyMachines) }
+                .map { machinesUp(it.name) }
+                .fold<Int?, Int?>(0) { sum, count -> if (sum == null || count == null) null else sum + count }
+        val rooms = services.map { room(it, standbyMachines, now) }
         val byQueue = estimate.estimate(now, rooms, queues, backlog.read(now))
         val parts = withinParts.update(now)
         if (byQueue.isEmpty()) return LoadPressure()
@@ -90,7 +91,8 @@
 
     private fun room(
         serviceName: String,
-        standbyMachines: Int,
+        standbyMachines: Int?,
+        now: Long,
     ): PoolUsage {
         var room = 0L
         var free = 0L
@@ -108,7 +110,12 @@
             free += worker.free.cpuMillis
             machines++
         }
-        val standby = if (machines > 0) room / machines * standbyMachines else 0
+        val awaited =
+            state
+                .workersOf(serviceName)
+                .filter { it.isAwaited(now) && it.isListed && it.listed.isReady && !it.isReserved }
+                .sumOf { it.listed.capacity.cpuMillis }
+        val standby = standbyMachines?.let { awaited + if (machines > 0) room / machines * it else 0 }
         val isFull = (state.missingRoomByService[serviceName]?.amount?.cpuMillis ?: 0) > 0
         return PoolUsage(serviceName, room, maxOf(0, room - free), standby, isFull)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -173,7 +173,12 @@
             !isReserved &&
             firstFailureMillis == null
 
+    /** Whether its first answer is still due: a working worker answers soon after a takeover or its first listing. */
+    fun isAwaited(now: Long): Boolean = !hasAnswered && now - seenAtMillis < FIRST_ANSWER_TIMEOUT_MILLIS
+
     private companion object {
+        // Longer than two calls to a worker.
+        const val FIRST_ANSWER_TIMEOUT_MILLIS = 2_000L
         const val QUARANTINE_CERTAINTY = 0.9
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MachineListCache.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MachineListCache.kt
@@ -17,10 +17,16 @@
         private set
 
     /** Monotonic time at which the last successful read began. */
-    var readAtMillis = Long.MIN_VALUE / 2
+    var readAtMillis = NEVER_MILLIS
         private set
 
-    private var attemptedAtMillis = Long.MIN_VALUE / 2
+    private var attemptedAtMillis = NEVER_MILLIS
+
+    /** Returns the number of running machines of the pool [poolName]; null before the list was first read. */
+    fun machinesUp(poolName: String): Int? {
+        if (readAtMillis == NEVER_MILLIS) return null
+        return machines.count { it.isUp && it.poolName == poolName }
+    }
 
     /**
      * Reads the list unless a read was attempted within the last [MIN_READ_INTERVAL_MILLIS]. Returns false when the
@@ -41,6 +47,8 @@
     }
 
     private companion object {
+        const val NEVER_MILLIS = Long.MIN_VALUE / 2
+
         // The platform allows a few dozen reads per second for all entries together.
         const val MIN_READ_INTERVAL_MILLIS = 500L
         const val MAX_AGE_MILLIS = 2_500L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/fleet/MovePlanner.kt
@@ -48,7 +48,7 @@
         // The runs of these pools are not fully known, so they give up no machine.
         val unansweredPools =
             state.workers.values
-                .filter { isAwaited(it, now) }
+                .filter { it.isAwaited(now) }
                 .mapTo(HashSet()) { it.listed.serviceName }
         val standby =
             configuration.services.values
@@ -107,7 +107,7 @@
         val demand = PoolDemand(pool, used, missing.amount, capacity, missing.workers)
         val wanted = sizer.size(demand, now)
         val open = workers.filter { !state.evacuatedZones.includes(it) }
-        val live = open.count { isAwaited(it, now) || it.isSchedulable && it.avoidUntilMillis <= now && !it.isSuspect }
+        val live = open.count { it.isAwaited(now) || it.isSchedulable && it.avoidUntilMillis <= now && !it.isSuspect }
         val returning = machines.count { it.poolName == pool && !it.isUp && !it.isLost && !isEvacuated(it) }
         val incoming = pendingMoves.filter { it.poolName == pool && !isEvacuated(it.machine) }
         val unlisted = incoming.count { it.machine.poolName != pool && !isListedAtTarget(it, machines) }
@@ -117,12 +117,6 @@
     // Nothing starts in an evacuated zone, so its machines do not count as capacity.
     private fun isEvacuated(machine: Machine) = machine.zoneId in state.evacuatedZones.zoneIds
 
-    // A working worker answers within this time after a takeover or after it was first listed.
-    private fun isAwaited(
-        worker: WorkerEntry,
-        now: Long,
-    ) = !worker.hasAnswered && now - worker.seenAtMillis < FIRST_ANSWER_TIMEOUT_MILLIS
-
     // From then on the machine counts as a restarting machine of the target pool.
     private fun isListedAtTarget(
         move: PoolMove,
@@ -144,9 +138,6 @@
     private fun isIdle(worker: WorkerEntry) = worker.isSchedulable && worker.runs.isEmpty()
 
     private companion object {
-        // Longer than two calls to a worker.
-        const val FIRST_ANSWER_TIMEOUT_MILLIS = 2_000L
-
         const val DEFAULT_MAX_MOVES = 6
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -94,9 +94,7 @@
                     broadcast?.let { launch { it.sendHeartbeats(engine.state.epoch) } }
                     ports.waves?.let { waves ->
                         val cache = MachineListCache(waves.machines, clock)
-                        engine.state.pressure.machinesUp = { service ->
-                            cache.machines.count { it.isUp && it.poolName == service }
-                        }
+                        engine.state.pressure.machinesUp = cache::machinesUp
                         launch { waveRunner(waves, cache).run() }
                         launch { poolMover(waves, cache).run() }
                     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/PressureEstimator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/PressureEstimator.kt
@@ -6,14 +6,15 @@
  * @property serviceName name of the pool.
  * @property capacityCpuMillis CPU capacity of the workers for tasks that end, without what lasting tasks take.
  * @property usedCpuMillis part of it that running tasks use.
- * @property standbyCpuMillis capacity that idle standby machines would add if they were moved to the pool.
+ * @property standbyCpuMillis capacity that the pool may gain soon, from idle standby machines and from workers that have
+ * not answered yet; null when not known.
  * @property isFull whether tasks wait only for capacity.
  */
 public data class PoolUsage(
     val serviceName: String,
     val capacityCpuMillis: Long,
     val usedCpuMillis: Long,
-    val standbyCpuMillis: Long,
+    val standbyCpuMillis: Long?,
     val isFull: Boolean,
 )
 
@@ -68,7 +69,7 @@
             val pool = pools.getOrPut(usage.serviceName) { PoolHistory() }
             observe(pool, usage, backlogsByOwnQueue.values.flatten(), now)
             val rate = rate(pool, usage, now)
-            if (!usage.isFull || rate <= 0) return@forEach
+            if (!usage.isFull || rate == null || rate <= 0) return@forEach
             own.filter { it.queueName in pool.activeAtMillis }.forEach { queue ->
                 val ahead = backlogsByOwnQueue.filterKeys { it.priority <= queue.priority }.values.flatten()
                 val pressure = pressure(pool, usage, rate, ahead, backlogsByOwnQueue.getValue(queue))
@@ -107,13 +108,16 @@
         }
     }
 
+    // Null while it depends on standby machines whose number is not known.
     private fun rate(
         pool: PoolHistory,
         usage: PoolUsage,
         now: Long,
-    ): Long {
+    ): Long? {
         val fullMillis = pool.fullSinceMillis?.let { now - it } ?: 0
-        if (fullMillis < SETTLE_MILLIS || pool.spanMillis <= 0) return usage.capacityCpuMillis + usage.standbyCpuMillis
+        if (fullMillis < SETTLE_MILLIS || pool.spanMillis <= 0) {
+            return usage.standbyCpuMillis?.let { usage.capacityCpuMillis + it }
+        }
         return maxOf((pool.doneWork / pool.spanMillis).toLong(), usage.capacityCpuMillis / MIN_RATE_DIVISOR)
     }
 
