Gauges say NaN for what an entry has not read

An operator would read 0 evacuated zones, 0 seconds of expected wait, a load report of age 0, an owner's row of 0 bytes and configuration version 0 from an entry that had read none of them. Now these gauges say NaN until the figure is known. Names are unchanged. Gauges of the owner's engine stay 0 at other entries, which hold no such thing.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -53,7 +53,9 @@
     limits: () -> EngineLimits,
 ) {
     private val takeoverRank = TakeoverRank(entryId, cores)
-    private var evacuatedZoneIds: Set<String> = emptySet()
+
+    // Null before the operator's rows were read.
+    private var evacuatedZoneIds: Set<String>? = null
     private var reachableCores: () -> Collection<Double> = { emptyList() }
     private val catalogue = StateCatalogue(ports.store, clock)
     private val ownership =
@@ -102,10 +104,11 @@
 
     /** Evacuates the availability zones [zoneIds]: nothing starts there. Zones that it no longer contains return. */
     public fun evacuate(zoneIds: Set<String>) {
-        (zoneIds - evacuatedZoneIds).forEach { log.write(Event.ZONE_EVACUATED, it, "no more tasks start there") }
-        (evacuatedZoneIds - zoneIds).forEach { log.write(Event.ZONE_RETURNED, it, "tasks may start there again") }
-        if (zoneIds == evacuatedZoneIds) return
+        val old = evacuatedZoneIds.orEmpty()
         evacuatedZoneIds = zoneIds
+        (zoneIds - old).forEach { log.write(Event.ZONE_EVACUATED, it, "no more tasks start there") }
+        (old - zoneIds).forEach { log.write(Event.ZONE_RETURNED, it, "tasks may start there again") }
+        if (zoneIds == old) return
         ownership.evacuate(zoneIds)
     }
 
@@ -150,13 +153,13 @@
             catalogue.owner
                 ?.record
                 ?.let { OwnerLease.encode(it).size }
-                ?.toDouble() ?: 0.0
+                ?.toDouble() ?: Double.NaN
         }
         metrics.gauge("verbenagauge_configuration_version", "Version of the configuration in force at this entry") {
-            calls.configuration?.version?.toDouble() ?: 0.0
+            calls.configuration?.version?.toDouble() ?: Double.NaN
         }
         metrics.gauge("verbenagauge_zones_evacuated", "Evacuated availability zones, as read by this entry") {
-            evacuatedZoneIds.size.toDouble()
+            evacuatedZoneIds?.size?.toDouble() ?: Double.NaN
         }
         metrics.gauge("verbenagauge_store_silence_seconds", "Time since the store last answered this entry") {
             catalogue.silenceMillis() / MILLIS_PER_SECOND
@@ -165,19 +168,18 @@
             "verbenagauge_expected_wait_seconds",
             "Longest expected wait of a queue, as last reported by the owner",
         ) {
-            val pressureByQueue =
-                admission
-                    .pressureView()
-                    ?.pressure
-                    ?.byQueue
-                    .orEmpty()
-            (pressureByQueue.values.maxOfOrNull { it.surplusWaitMillis } ?: 0) / MILLIS_PER_SECOND
+            val pressure = admission.pressureView()?.pressure
+            if (pressure == null) {
+                Double.NaN
+            } else {
+                (pressure.byQueue.values.maxOfOrNull { it.surplusWaitMillis } ?: 0) / MILLIS_PER_SECOND
+            }
         }
         metrics.gauge(
             "verbenagauge_pressure_age_seconds",
-            "Age of the owner's last load report; 0 when there is none",
+            "Age of the owner's last load report; NaN when there is none",
         ) {
-            (admission.pressureView()?.ageMillis ?: 0) / MILLIS_PER_SECOND
+            admission.pressureView()?.let { it.ageMillis / MILLIS_PER_SECOND } ?: Double.NaN
         }
         metrics.gauge("verbenagauge_pending_jobs", "Accepted jobs without a started task, as reported by the owner") {
             val pendingByQueue = catalogue.owner?.record?.pendingByQueue
