Bytes that claim a length near 2^31 are no record

What operators would see: a row in a table of the system with such bytes ends what reads the table, or, before the rows are loaded by a new owner, each attempt to take the ownership (StoredStateLoader decodes outside of a follower). Read from the code; no run of the program.

Cause: the library adds the length of a text or byte string in an unknown field to its place in the bytes, which overflows: ArrayIndexOutOfBoundsException, which RecordCodec did not map.

RecordCodec maps the exception.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -136,5 +136,8 @@
             null
         } catch (_: IllegalArgumentException) {
             null
+        } catch (_: IndexOutOfBoundsException) {
+            // The library adds lengths up to 2^31 - 1 to its place in the bytes.
+            null
         }
 }
