A wave with less than no time no longer ends the owner again and again

What operators would see: beside one row op/wave/N with a DurationS below 0 the owner fails every 0.35 s and takes the ownership anew (CHILD_RESTARTED, "Cannot coerce value to an empty range: maximum -5000 is less than minimum 0"); no wave is reported. A row of a wave that becomes unreadable removed the wave without a line in the log, although the log says of others that what was read before stays.

Cause: the age of a wave is brought between 0 and its duration, which throws for a duration below 0, in a coroutine of the owner's term.

readWave takes numbers and durations from 0 to the highest that JSON keeps exact; an unreadable row of a wave is logged and changes nothing.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -177,9 +177,8 @@
 
     private fun wave(
         key: String,
-        value: ByteArray?,
+        wave: MaintenanceWave?,
     ) {
-        val wave = value?.let { readWave(key, it) }
         if (wave == null) waves.remove(key) else waves[key] = wave
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformLists.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.platform
 
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
+import org.verbenagauge.entry.jobs.model.MaintenanceWave
 import org.verbenagauge.entry.jobs.owner.TableFollower
 import org.verbenagauge.entry.jobs.ports.ListedWorker
 import org.verbenagauge.entry.jobs.ports.RowBatch
@@ -27,7 +28,7 @@
     store: RowStore,
     private val log: EventLog,
     private val onConfiguration: (JobsConfiguration) -> Unit,
-    private val onWave: (key: String, value: ByteArray?) -> Unit,
+    private val onWave: (key: String, wave: MaintenanceWave?) -> Unit,
     private val onEvacuated: (zoneIds: Set<String>) -> Unit,
 ) {
     private val evacuations = EvacuationRows(::unreadable)
@@ -55,16 +56,25 @@
     // Evacuations first: with the first configuration this entry may become the owner.
     private fun take(batch: RowBatch) {
         onEvacuated(evacuations.zoneIds)
-        batch.rows.filter { !evacuations.isAbout(it) }.forEach { row ->
-            val value = row.value
-            if (row.key != CONFIGURATION_KEY) {
-                onWave(row.key, value)
-            } else if (value != null) {
-                val configuration = readConfiguration(value)
-                if (configuration == null) unreadable(row) else onConfiguration(configuration)
+        batch.rows.forEach { row ->
+            when {
+                isAboutWave(row.key) -> takeWave(row)
+                row.key == CONFIGURATION_KEY -> takeConfiguration(row)
             }
         }
     }
+
+    private fun takeWave(row: StoredRow) {
+        val value = row.value ?: return onWave(row.key, null)
+        val wave = readWave(row.key, value)
+        if (wave == null) unreadable(row) else onWave(row.key, wave)
+    }
+
+    private fun takeConfiguration(row: StoredRow) {
+        val value = row.value ?: return
+        val configuration = readConfiguration(value)
+        if (configuration == null) unreadable(row) else onConfiguration(configuration)
+    }
 }
 
 /** Follows the entries of workers. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -113,14 +113,18 @@
         else -> MachineOutcome.Unanswered("refused for an unknown reason: $reason")
     }
 
+/** Whether a row of the operator with [key] is about a wave. */
+internal fun isAboutWave(key: String): Boolean = key.startsWith(WAVE_PREFIX)
+
 /** Reads a wave; null when the row is none. */
 internal fun readWave(
     key: String,
     value: ByteArray,
 ): MaintenanceWave? {
-    if (!key.startsWith(WAVE_PREFIX)) return null
+    if (!isAboutWave(key)) return null
     val wire = decode(WireWave.serializer(), value) ?: return null
     val durationMillis = (wire.durationS * MILLIS_PER_SECOND).toLong()
+    if (wire.wave !in exactNumbers || durationMillis !in exactNumbers) return null
     return MaintenanceWave(wire.wave, wire.machines, durationMillis, maxOf(1, wire.maxCount))
 }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/EvacuationRowsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/EvacuationRowsTest.kt
@@ -32,7 +32,7 @@
 )
 
 // The table read whole, and no change of it.
-private class ReadOnce(
+internal class ReadOnce(
     private val rows: MemoryRowStore,
 ) : RowStore by rows {
     override fun feed(table: String): RowFeed =
