--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -120,6 +120,7 @@
 internal fun readWave(value: ByteArray): MaintenanceWave? {
     val wire = decode(WireWave.serializer(), value) ?: return null
     val durationMillis = (wire.durationS * MILLIS_PER_SECOND).toLong()
+    if (wire.wave !in exactNumbers || durationMillis !in exactNumbers) return null
     return MaintenanceWave(wire.wave, wire.machines, durationMillis, maxOf(1, wire.maxCount))
 }
 
