--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformSettings.kt
@@ -3,7 +3,6 @@
 import kotlinx.serialization.Serializable
 import org.verbenagauge.entry.jobs.fleet.DEFAULT_ORDERS_PER_SECOND
 import org.verbenagauge.entry.load.LoadSettings
-import org.verbenagauge.entry.settings.MAX_PORT
 import org.verbenagauge.entry.settings.TomlOutcome
 import org.verbenagauge.entry.settings.readSettingsText
 import org.verbenagauge.entry.settings.readToml
@@ -167,11 +166,7 @@
 private fun addressProblem(
     field: String,
     text: String,
-): String? =
-    "$field: write an address as host:port, such as \"10.0.0.1:8080\"".takeIf {
-        parseHostPort(text)?.port !in
-            0..MAX_PORT
-    }
+): String? = "$field: write an address as host:port, such as \"10.0.0.1:8080\"".takeIf { parseHostPort(text) == null }
 
 private fun optionalAddressProblem(
     field: String,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/ListingAnswerTest.kt
@@ -69,6 +69,7 @@
                 nameFn = { it.name },
                 HeldCase("a run with too few fields", held(running = """["$TASK",2]""")),
                 HeldCase("a run whose task has another form", held(running = """["task",2,"",41]""")),
+                HeldCase("a run of a job whose id has a dot", held(running = """["a.b.0.0.0",2,"",41]""")),
                 HeldCase("a run whose task is a list", held(running = """[["$TASK"],2,"",41]""")),
                 HeldCase("a run without its number", held(running = """["$TASK","x","",41]""")),
                 HeldCase("a run whose saved state is an object", held(running = """["$TASK",2,{},41]""")),
