A failure that no single row repeats is logged

When rows could not be taken in, they were taken in one by one, and what had failed at first was not told if it did not fail again, as when the first attempt had left half of its effect. Operators would see a job that stands still and no line about it. The first failure is now logged with the rows, too.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/TableFollower.kt
@@ -90,30 +90,41 @@
         onAll: (RowBatch) -> Unit,
         onChanges: (RowBatch) -> Unit,
     ) {
-        if (failureOf { onAll(batch) } == null) return
-        onAll(RowBatch(applicableRows(batch, onChanges), batch.version))
+        val failure = failureOf { onAll(batch) } ?: return
+        onAll(RowBatch(applicableRows(batch, failure, onChanges), batch.version))
     }
 
     private fun applyChanges(
         batch: RowBatch,
         onChanges: (RowBatch) -> Unit,
     ) {
-        if (failureOf { onChanges(batch) } != null) applicableRows(batch, onChanges)
+        val failure = failureOf { onChanges(batch) } ?: return
+        applicableRows(batch, failure, onChanges)
     }
 
     // Applies the rows one by one and returns those that can be applied. Rows may be applied several times, as after a
-    // gap in the feed.
+    // gap in the feed. What failed at first may have taken effect and pass now, so [failure] is logged in any case.
     private fun applicableRows(
         batch: RowBatch,
+        failure: Exception,
         onChanges: (RowBatch) -> Unit,
-    ): List<StoredRow> =
-        batch.rows.filter { row ->
-            val failure = failureOf { onChanges(RowBatch(listOf(row), batch.version)) }
-            if (failure != null) {
-                log.write(Event.DOCUMENT_UNREADABLE, row.key, "${row.table}, version ${row.version}: $failure")
-            }
-            failure == null
-        }
+    ): List<StoredRow> {
+        val rows = batch.rows.filter { row -> isApplied(row, batch.version, onChanges) }
+        if (rows.size < batch.rows.size) return rows
+        val keys = batch.rows.take(MAX_KEYS_LOGGED).joinToString { it.key }
+        log.write(Event.DOCUMENT_UNREADABLE, places.first().table, "one of ${rows.size} rows ($keys): $failure")
+        return rows
+    }
+
+    private fun isApplied(
+        row: StoredRow,
+        version: Long,
+        onChanges: (RowBatch) -> Unit,
+    ): Boolean {
+        val failure = failureOf { onChanges(RowBatch(listOf(row), version)) } ?: return true
+        log.write(Event.DOCUMENT_UNREADABLE, row.key, "${row.table}, version ${row.version}: $failure")
+        return false
+    }
 
     @Suppress("TooGenericExceptionCaught")
     private inline fun failureOf(apply: () -> Unit): Exception? =
@@ -129,5 +140,6 @@
     private companion object {
         const val RETRY_MILLIS = 150L
         const val MAX_FAILURES = 3
+        const val MAX_KEYS_LOGGED = 5
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowThatEndsFollowerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowThatEndsFollowerTest.kt
@@ -80,4 +80,23 @@
                 unreadable shouldBe 2
             }
         }
+
+        test("a failure that does not come again when the rows are taken in one by one is logged") {
+            runTest {
+                var unreadable = 0
+                val log = EventLog("e") { if (it == Event.DOCUMENT_UNREADABLE) unreadable++ }
+                val taken = HashSet<String>()
+                val running =
+                    backgroundScope.launch {
+                        PlatformWorkerList(ScriptedStore(workers(1, "a"), listOf(workers(2, "b", "odd"))), log).follow(
+                            onAll = { },
+                            onChange = { workerId, _ -> check(!taken.add(workerId) || workerId != "odd") { "odd" } },
+                        )
+                    }
+                advanceTimeBy(5_000)
+                running.cancel()
+                taken shouldBe setOf("b", "odd")
+                unreadable shouldBe 1
+            }
+        }
     })
