--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLeaseTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLeaseTest.kt
@@ -78,6 +78,18 @@
             lease.confirmedSentAtMillis shouldBe 2_000
         }
 
+        test("a row tells the age of its counts until the owner releases it") {
+            val store = MemoryRowStore()
+            val lease = lease(store, StepClock())
+            lease.begin(emptyList(), OwnerFigures(mapOf("q" to 16), pendingAgeMillis = 7, omitsPending = true))
+            lease.settle()
+            lease.record.pendingAgeMillis shouldBe 7
+            lease.record.omitsPending shouldBe true
+            lease.release()
+            lease.record.pendingByQueue shouldBe mapOf("q" to 16)
+            lease.record.pendingAgeMillis shouldBe null
+        }
+
         test("after a takeover, no write of the old owner is stored") {
             val store = MemoryRowStore()
             val lease = lease(store, StepClock())
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTakeoverFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTakeoverFuzzTest.kt
@@ -11,11 +11,16 @@
 private const val FIRST_SEED = 1L
 private const val SEED_COUNT = 250L
 
+// Seeds that have shown a violation; docs/incidents names each of them.
+private val regressionSeeds =
+    listOf(465L, 725, 970, 1001, 1247, 1275, 1394, 1695, 1782, 1965, 2016, 2183, 2285, 2378, 2458)
+
 // Run another range of seeds with -DtakeoverSeeds=1000..4000
-private fun seeds(): LongRange {
-    val text = System.getProperty("takeoverSeeds") ?: return FIRST_SEED until FIRST_SEED + SEED_COUNT
+private fun seeds(): List<Long> {
+    val text = System.getProperty("takeoverSeeds")
+    if (text == null) return (FIRST_SEED until FIRST_SEED + SEED_COUNT) + regressionSeeds
     val (first, last) = text.split("..").map { it.toLong() }
-    return first..last
+    return (first..last).toList()
 }
 
 private fun printTrace(
@@ -53,7 +58,7 @@
                     withClue("seed $seed") { listOf(violation).shouldBeEmpty() }
                 }
             }
-            println("takeovers: ${seeds().count()} seeds, violations " + found.mapValues { it.value.size })
+            println("takeovers: ${seeds().size} seeds, violations " + found.mapValues { it.value.size })
             found.keys.shouldBeEmpty()
         }
     })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowTooLongTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RowTooLongTest.kt
@@ -117,6 +117,7 @@
                     val row = rig.ownerRow()
                     row.pendingByQueue.getValue(BUSY_QUEUE) shouldBe if (case.waitingQueues > 7) 50 else 49
                     row.pressure?.byQueue.orEmpty() shouldContainKey BUSY_QUEUE
+                    row.pendingAgeMillis shouldNotBe null
                     row.omitsPending shouldBe (row.pendingByQueue.size < maxOf(1, case.waitingQueues))
                     OwnerLease.encode(row).size shouldBeLessThanOrEqual MAX_ROW_BYTES
                 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithSlowStoreTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithSlowStoreTest.kt
@@ -157,6 +157,7 @@
                 val result = runTakeovers(readMillis = 4_000, runMillis = 7_000)
                 result.row.epoch shouldBe 2
                 result.row.pendingByQueue shouldBe mapOf(QUEUE to 7)
+                result.row.pendingAgeMillis shouldBe null
             }
         }
     })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/OddCallAtListenerTest.kt
@@ -153,6 +153,12 @@
             executor.shutdownNow()
         }
 
+        test("a count that no owner has made is refused with the time to come back") {
+            val answer = exchange(port, request("GET", "/p/", ByteArray(0), "Connection: close"))
+            answer.substringBefore(CRLF) shouldBe "HTTP/1.1 503 Service Unavailable"
+            answer shouldContain "Retry-After: 1$CRLF"
+        }
+
         fun shouldServe() = statuses(port, goodRequest()) shouldBe listOf(200)
 
         context("a body is answered, and the same connection and others are served on") {
