One budget for the age of a count and of what it was counted from

Two limits side by side let a count be told that no job accepted in the last five seconds was sure to be in, and refused counts after a single late answer to the owner. A row counts for 2 s, and for 3 s together with the time for which its writer had not read accepted jobs; two more seconds are left for a row that is sent again until the lease has passed. Counts that are not known have a label of their own in the metrics.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
@@ -133,7 +133,8 @@
     public fun pending(admitted: Admittance.Granted): Int? {
         val startedMillis = clock.monotonicMillis()
         val pending = pendingCounts.of(admitted.queue.name)
-        recordAnswer("count", admitted, pending, startedMillis)
+        val label = if (pending.count == null) "Unknown" else "Counted"
+        recordAnswer("count", admitted, pending, startedMillis, label)
         return pending.count
     }
 
@@ -142,9 +143,10 @@
         admitted: Admittance.Granted,
         outcome: Any,
         startedMillis: Long,
+        label: String = outcome::class.simpleName.orEmpty(),
     ) {
         val tookMillis = clock.monotonicMillis() - startedMillis
-        metrics.call(call, outcome::class.simpleName.orEmpty(), tookMillis)
+        metrics.call(call, label, tookMillis)
         log.write(Event.JOB_ANSWERED, admitted.jobId, "$call, ${describe(admitted)}: $outcome after $tookMillis ms")
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
@@ -55,17 +55,20 @@
 
     private fun currentRecord(): OwnerRecord? {
         val observed = catalogue.lastCount ?: return null
-        if (ageMillis(observed) > MAX_ROW_AGE_MILLIS) return null
-        return observed.record?.takeIf { (it.pendingAgeMillis ?: Long.MAX_VALUE) <= MAX_READING_AGE_MILLIS }
+        val ageWhenWrittenMillis = observed.record?.pendingAgeMillis ?: return null
+        val rowAgeMillis = ageMillis(observed)
+        if (rowAgeMillis > MAX_ROW_AGE_MILLIS) return null
+        return observed.record.takeIf { ageWhenWrittenMillis + rowAgeMillis <= MAX_AGE_MILLIS }
     }
 
     private fun ageMillis(observed: ObservedOwner) = clock.monotonicMillis() - observed.observedAtMillis
 
     private companion object {
-        // A count may be 2 s old by the published protocol, and a row is read up to half a second after it was written.
-        const val MAX_ROW_AGE_MILLIS = 1_500L
+        // By the published protocol, a count may be 2 s old.
+        const val MAX_ROW_AGE_MILLIS = 2_000L
 
-        // Twice the wait of the owner's feed of accepted jobs, so that one late answer does not make counts unknown.
-        const val MAX_READING_AGE_MILLIS = 2_000L
+        // By the same protocol, a job is visible 3 s after it was accepted, which makes 5 s. A row that is sent again and
+        // again until the owner's lease has passed is under way for the last two of them.
+        const val MAX_AGE_MILLIS = 3_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/FittingFigures.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/FittingFigures.kt
@@ -5,7 +5,8 @@
 
 /**
  * Returns the figures as far as they fit into the owner's row. Queues and accounts with the smallest figures are left
- * out, which the figures say of the pending jobs, so that no configuration and no load can make the row longer than the store accepts.
+ * out, which the figures say of the pending jobs, so that no configuration and no load can make the row longer than the
+ * store accepts.
  */
 internal fun fittingFigures(
     pendingByQueue: Map<String, Int>,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/PressureEstimator.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/PressureEstimator.kt
@@ -6,8 +6,8 @@
  * @property serviceName name of the pool.
  * @property capacityCpuMillis CPU capacity of the workers for tasks that end, without what lasting tasks take.
  * @property usedCpuMillis part of it that running tasks use.
- * @property standbyCpuMillis capacity that the pool may gain soon, from idle standby machines and from workers that have
- * not answered yet; null when not known.
+ * @property standbyCpuMillis capacity that the pool may gain soon, from idle standby machines and from workers that
+ * have not answered yet; null when not known.
  * @property isFull whether tasks wait only for capacity.
  */
 public data class PoolUsage(
