Comments of a settings file count neither as nesting nor as a key

A file with brackets or many dots in a comment was refused by the bound on nesting of this change. Seen by reading; the case of PlatformSettingsTest was not run on the code before. Words on the age of a count are more exact.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
@@ -12,7 +12,8 @@
  * @property epoch epoch of the owner that wrote the row; null when no row is known.
  * @property version version of the row in the store; null when the table has not been read.
  * @property rowAgeMillis time since this entry first read the row; null when the table has not been read.
- * @property ageWhenWrittenMillis age of the count when the row was written; null when its writer has not counted.
+ * @property ageWhenWrittenMillis time for which the writer of the row had not read accepted jobs when it counted; null
+ * when it has not counted.
  */
 public data class PendingCount(
     val count: Int?,
@@ -67,8 +68,8 @@
         // By the published protocol, a count may be 2 s old.
         const val MAX_ROW_AGE_MILLIS = 2_000L
 
-        // By the same protocol, a job is visible 3 s after it was accepted, which makes 5 s. A row that is sent again and
-        // again until the owner's lease has passed is under way for the last two of them.
+        // By the same protocol, a job is visible 3 s after it was accepted, which makes 5 s. A row that is sent again
+        // and again until the owner's lease has passed is under way for the last two of them.
         const val MAX_AGE_MILLIS = 3_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -77,8 +77,8 @@
  * @property keepsRoster whether every worker that may hold runs has a row; releases without a roster do not write this
  * field.
  * @property pressure load pressure on the queues; null when not reported.
- * @property pendingAgeMillis age of [pendingByQueue] when the record was written, on the owner's monotonic clock; null
- * when the owner has not counted, as while it takes over and repeats the counts of the owner before it.
+ * @property pendingAgeMillis time for which the owner had not read accepted jobs when it counted [pendingByQueue]; null
+ * when it has not counted, as while it takes over and repeats the counts of the owner before it.
  * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
  */
 @Serializable
@@ -99,7 +99,8 @@
  *
  * @property pendingByQueue number of accepted jobs without a started task, by queue.
  * @property pressure load pressure on the queues; null when not reported.
- * @property pendingAgeMillis age of [pendingByQueue] in milliseconds; null when this owner has not counted.
+ * @property pendingAgeMillis time for which this owner had not read accepted jobs when it counted [pendingByQueue];
+ * null when it has not counted.
  * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
  */
 public data class OwnerFigures(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsText.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/settings/SettingsText.kt
@@ -26,7 +26,7 @@
     if (text.length > MAX_BYTES) return "write at most $MAX_BYTES characters"
     var depth = 0
     var parts = 0
-    withoutQuoted(text).forEach { char ->
+    withoutQuotesAndComments(text).forEach { char ->
         when (char) {
             '[', '{' -> depth++
             ']', '}' -> depth = maxOf(0, depth - 1)
@@ -71,6 +71,6 @@
 private val toml = Toml(inputConfig = inputConfig)
 
 // Quotes that are not closed in their line hide nothing.
-private fun withoutQuoted(text: String): String = text.replace(quotedPattern, "")
+private fun withoutQuotesAndComments(text: String): String = text.replace(quoteOrCommentPattern, "")
 
-private val quotedPattern = Regex("\"(?:[^\"\\\\\n]|\\\\.)*+\"|'[^'\n]*+'")
+private val quoteOrCommentPattern = Regex("\"(?:[^\"\\\\\n]|\\\\.)*+\"|'[^'\n]*+'|#[^\n]*+")
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/PlatformSettingsTest.kt
@@ -25,6 +25,12 @@
                 .settings.limits.leaseMaxMillis shouldBe 6_000
         }
 
+        test("what stands in comments and texts counts neither as nesting nor as a key") {
+            val comment = "# ${"[{".repeat(9)} ${"a.".repeat(20)}\n"
+            val text = comment + GOOD.replace("\"e\"", "\"${"[".repeat(20)}${".".repeat(20)}\"")
+            parsePlatformSettings(text, "f.toml").shouldBeInstanceOf<PlatformSettingsOutcome.Valid>()
+        }
+
         context("the processor of a machine is its share times its speed") {
             withData(
                 nameFn = { (text, cores) -> "$cores from ${text.lines()}" },
