--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/PendingCounts.kt
@@ -12,7 +12,8 @@
  * @property epoch epoch of the owner that wrote the row; null when no row is known.
  * @property version version of the row in the store; null when the table has not been read.
  * @property rowAgeMillis time since this entry first read the row; null when the table has not been read.
- * @property ageWhenWrittenMillis age of the count when the row was written; null when its writer has not counted.
+ * @property ageWhenWrittenMillis time for which the writer of the row had not read accepted jobs when it counted; null
+ * when it has not counted.
  */
 public data class PendingCount(
     val count: Int?,
@@ -55,17 +56,20 @@
 
     private fun currentRecord(): OwnerRecord? {
         val observed = catalogue.lastCount ?: return null
-        if (ageMillis(observed) > MAX_ROW_AGE_MILLIS) return null
-        return observed.record?.takeIf { (it.pendingAgeMillis ?: Long.MAX_VALUE) <= MAX_READING_AGE_MILLIS }
+        val ageWhenWrittenMillis = observed.record?.pendingAgeMillis ?: return null
+        val rowAgeMillis = ageMillis(observed)
+        if (rowAgeMillis > MAX_ROW_AGE_MILLIS) return null
+        return observed.record.takeIf { ageWhenWrittenMillis + rowAgeMillis <= MAX_AGE_MILLIS }
     }
 
     private fun ageMillis(observed: ObservedOwner) = clock.monotonicMillis() - observed.observedAtMillis
 
     private companion object {
-        // A count may be 2 s old by the published protocol, and a row is read up to half a second after it was written.
-        const val MAX_ROW_AGE_MILLIS = 1_500L
+        // By the published protocol, a count may be 2 s old.
+        const val MAX_ROW_AGE_MILLIS = 2_000L
 
-        // Twice the wait of the owner's feed of accepted jobs, so that one late answer does not make counts unknown.
-        const val MAX_READING_AGE_MILLIS = 2_000L
+        // By the same protocol, a job is visible 3 s after it was accepted, which makes 5 s. A row that is sent again
+        // and again until the owner's lease has passed is under way for the last two of them.
+        const val MAX_AGE_MILLIS = 3_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/ClientListener.kt
@@ -25,13 +25,34 @@
 import org.verbenagauge.entry.jobs.front.JobLookup
 import org.verbenagauge.entry.jobs.front.SubmitOutcome
 import org.verbenagauge.entry.jobs.model.JobState
-import org.verbenagauge.entry.jobs.model.sizeProblem
+import org.verbenagauge.entry.jobs.model.boundsProblem
 
 private const val KEY_HEADER = "X-Verbenagauge-Credential"
 private const val WAIT_HEADER = "X-Verbenagauge-Deadline-Ms"
 private const val DEFAULT_WAIT_MILLIS = 3_000L
 private const val DEFAULT_BODY_BYTES = 262_144L
 private const val MILLIS_PER_SECOND = 1_000L
+private const val ID_PROBLEM = "the path: write the id as 1 to 64 letters, digits, '-' and '_'"
+private const val BODY_PROBLEM = "the body: write a job as JSON in UTF-8, each of its Steps with a Count of at least 1"
+private const val LENGTH_PROBLEM = "the body: its length is not that of Content-Length"
+
+// Without dots: a worker that lists the tasks of an id with dots has a listing that nobody can read.
+private val jobIdPattern = Regex("[A-Za-z0-9_-]{1,64}")
+
+private val wireNameByField =
+    mapOf(
+        "amount" to "Cpu, MemMb, Gpu",
+        "estimatedMillis" to "EstimatedMs",
+        "latencyTargetMillis" to "TargetMs",
+        "dependsOn" to "Dependencies",
+        "maxPerWorker" to "AntiAffinity",
+        "mayMiss" to "MissAllowed",
+        "repetitions" to "Repetitions",
+        "firstRunUnixMillis" to "FirstRunMs",
+        "intervalMillis" to "IntervalMs",
+        "steps" to "Steps",
+    )
+private val fieldPattern = Regex(wireNameByField.keys.joinToString("|", "\\b(?:", ")\\b"))
 
 /** Answers clients of the platform in their own form. */
 internal fun Application.clientRoutes(
@@ -77,7 +98,8 @@
         is Admittance.Granted ->
             when {
                 admittance.jobId.isEmpty() -> queueAnswer(call, calls, admittance)
-                call.request.httpMethod == HttpMethod.Post -> submit(calls, admittance, body, waitMillis)
+                !jobIdPattern.matches(admittance.jobId) -> idAnswer(call)
+                call.request.httpMethod == HttpMethod.Post -> submit(call, calls, admittance, body, waitMillis)
                 call.request.httpMethod == HttpMethod.Get -> lookup(calls, admittance, waitMillis)
                 call.request.httpMethod == HttpMethod.Delete -> cancel(calls, admittance, waitMillis)
                 else -> ClientAnswer(HttpStatusCode.MethodNotAllowed)
@@ -97,7 +119,21 @@
     return ClientAnswer(HttpStatusCode.OK, wireJson.encodeToString(WirePending.serializer(), WirePending(count)))
 }
 
+// No job has such an id, so none is stored under it, and none is found.
+private fun idAnswer(call: ApplicationCall): ClientAnswer =
+    when (call.request.httpMethod) {
+        HttpMethod.Post -> refused(ID_PROBLEM)
+        HttpMethod.Get, HttpMethod.Delete -> ClientAnswer(HttpStatusCode.Gone)
+        else -> ClientAnswer(HttpStatusCode.MethodNotAllowed)
+    }
+
+private fun refused(problem: String): ClientAnswer {
+    val text = wireJson.encodeToString(WireProblem.serializer(), WireProblem(problem))
+    return ClientAnswer(HttpStatusCode.BadRequest, text)
+}
+
 private suspend fun submit(
+    call: ApplicationCall,
     calls: JobCalls,
     admitted: Admittance.Granted,
     body: ByteArray?,
@@ -105,8 +141,12 @@
 ): ClientAnswer {
     val most = calls.configuration?.maxBodyBytes ?: DEFAULT_BODY_BYTES
     if (body == null || body.size > most) return ClientAnswer(HttpStatusCode.PayloadTooLarge)
-    val specification = readJob(body) ?: return ClientAnswer(HttpStatusCode.BadRequest)
-    if (sizeProblem(specification) != null) return ClientAnswer(HttpStatusCode.BadRequest)
+    val declaredBytes = call.request.header(HttpHeaders.ContentLength)?.toLongOrNull()
+    if (declaredBytes != null && declaredBytes != body.size.toLong()) return refused(LENGTH_PROBLEM)
+    val specification = readJob(body) ?: return refused(BODY_PROBLEM)
+    boundsProblem(specification)?.let { problem ->
+        return refused(problem.replace(fieldPattern) { wireNameByField.getValue(it.value) })
+    }
     return when (val outcome = calls.submit(admitted, specification, waitMillis)) {
         is SubmitOutcome.Accepted -> ClientAnswer(HttpStatusCode.OK, "{}")
         is SubmitOutcome.Refused ->
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -23,6 +23,15 @@
 // Racks are told among the labels of a worker, in the form r1-3.
 internal val rackPattern = Regex("r\\d+-\\d+")
 
+/** Numbers that every reader of JSON keeps exact, RFC 8259, from 0. */
+internal val exactNumbers = 0L..9_007_199_254_740_991
+
+/**
+ * Amounts that a worker may report. The highest is beyond every machine, and sums over a fleet and products with times
+ * stay within 64 bits.
+ */
+internal val amounts = 0L..Int.MAX_VALUE
+
 /** Reads the operator's configuration; null when [value] is none. */
 internal fun readConfiguration(value: ByteArray): JobsConfiguration? {
     val wire = decode(WireConfig.serializer(), value) ?: return null
@@ -69,6 +78,7 @@
 
 /** Reads a job as callers send it; null when [body] is none. */
 internal fun readJob(body: ByteArray): JobSpecification? {
+    if (!isUtf8(body)) return null
     val wire = decode(WireJob.serializer(), body) ?: return null
     if (wire.steps.isEmpty() || wire.steps.any { it.count < 1 }) return null
     return JobSpecification(
@@ -80,6 +90,15 @@
     )
 }
 
+// Read leniently, the tasks would get another specification than the caller has sent.
+private fun isUtf8(bytes: ByteArray): Boolean =
+    try {
+        bytes.decodeToString(throwOnInvalidSequence = true)
+        true
+    } catch (_: CharacterCodingException) {
+        false
+    }
+
 private fun step(wire: WireStep) =
     StepSpecification(
         taskCount = wire.count,
@@ -119,7 +138,10 @@
 ): ListedWorker? {
     val wire = decode(WireServer.serializer(), value) ?: return null
     if (wire.state != READY && wire.state != DRAINING) return null
-    val address = parseHostPort(wire.address) ?: return null
+    val address = parseHostPort(wire.address)?.takeIf { it.port > 0 } ?: return null
+    val coldMillis = wire.coldRemainingMs.toLong()
+    val isPossible = isPossible(wire.capacity) && coldMillis in amounts && wire.born in exactNumbers
+    if (!isPossible) return null
     return ListedWorker(
         address = WorkerAddress(workerId, address.host, address.port),
         serviceName = wire.service,
@@ -130,6 +152,8 @@
         isReady = wire.state == READY,
         bornUnixMillis = wire.born,
         machineId = wire.machine,
-        coldMillis = wire.coldRemainingMs.toLong(),
+        coldMillis = coldMillis,
     )
 }
+
+private fun isPossible(amount: WireAmount) = amount.cpu in amounts && amount.memMb in amounts && amount.gpu in amounts
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithSlowStoreTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverWithSlowStoreTest.kt
@@ -103,7 +103,7 @@
     val tasks =
         backgroundScope.launch {
             listOf("a", "b").forEachIndexed { rank, id ->
-                val catalogue = StateCatalogue(store, clock)
+                val catalogue = StateCatalogue(store, clock, EventLog("a"))
                 val log =
                     EventLog(id) { event ->
                         if (event == Event.OWNERSHIP_LOST) lost += "$id at ${testScheduler.currentTime}"
@@ -157,6 +157,7 @@
                 val result = runTakeovers(readMillis = 4_000, runMillis = 7_000)
                 result.row.epoch shouldBe 2
                 result.row.pendingByQueue shouldBe mapOf(QUEUE to 7)
+                result.row.pendingAgeMillis shouldBe null
             }
         }
     })
