--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -197,6 +197,8 @@
                 case "route" -> new Route(rig).play();
                 case "timed" -> new Timed(rig).play();
                 case "advice" -> new Advice(rig).play();
+                case "cancel" -> new Cancel(rig).play();
+                case "lasting" -> new Lasting(rig).play();
                 case "future" -> new Future(rig).play();
                 default -> throw new IllegalArgumentException("no case " + words[0]);
             };
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -22,6 +22,12 @@
     private final TreeMap<String, Row> rows = new TreeMap<>();
     private final List<Row> history = new ArrayList<>();
     private long version;
+    /** Writes whose answers are lost: they are carried out this much later, if their condition still holds; 0: none. */
+    volatile long lateMillis;
+    /** Text that a late write holds. */
+    volatile String lateText = "";
+    /** Number of writes that were late, and the status that each had. */
+    final List<String> late = new ArrayList<>();
     /** Largest value that was refused because a row holds at most RowBytes. */
     private int refusedBytes;
     /** Position of the entry that last wrote under a condition. */
@@ -50,6 +56,13 @@
         switch (call.path()) {
             case "/v1/rows-tx":
                 Thread.sleep(3);
+                long delay = lateMillis;
+                if (delay > 0 && new String(call.body(), java.nio.charset.StandardCharsets.UTF_8).contains(lateText)) {
+                    Http.daemon(() -> carryOutLate(call.body(), index, delay));
+                    // A channel on which an answer is lost delivers nothing further.
+                    call.channel().isSilent = true;
+                    return null;
+                }
                 return transact(call.body(), index);
             case "/v1/rows-get":
                 return get(call.query());
@@ -60,6 +73,18 @@
         }
     }
 
+    private void carryOutLate(byte[] body, int index, long delay) {
+        try {
+            Thread.sleep(delay);
+        } catch (InterruptedException e) {
+            return;
+        }
+        Http.Answer answer = transact(body, index);
+        synchronized (late) {
+            late.add("" + answer.status());
+        }
+    }
+
     private static String place(String table, String part, String key) {
         return table + "\0" + part + "\0" + key;
     }
