--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -199,6 +199,7 @@
                 case "advice" -> new Advice(rig).play();
                 case "cancel" -> new Cancel(rig).play();
                 case "lasting" -> new Lasting(rig).play();
+                case "foreign" -> new Foreign(rig).play();
                 case "future" -> new Future(rig).play();
                 default -> throw new IllegalArgumentException("no case " + words[0]);
             };
