Review case 1: the owner runs out of descriptors in ordinary traffic

Cause: PlatformWorkers keeps a connection pool for each address of a worker and never removes one, so the idle connections to workers that have gone stay open.

The demand of four queues rises and falls by turns and machines change their pools; at 4,100 descriptors the owner accepts no channel any more and keeps the ownership.

--- a/review/rig/Entry.java
+++ b/review/rig/Entry.java
@@ -19,7 +19,7 @@
     private final Path output;
     private Process process;
 
-    Entry(int index, Http store, Path folder, String advisor) throws IOException {
+    Entry(int index, Http store, Path folder, String advisor, String machines) throws IOException {
         id = "entry-" + index;
         this.store = store;
         List<ServerSocket> sockets = new ArrayList<>();
@@ -41,7 +41,7 @@
         }
         text = text.replace("{{IpAddress}}:{{InternalPortRange.0}}", Http.HOST + ":" + ports.get(2));
         text = text.replace("{{IpAddress}}:9464", Http.HOST + ":" + ports.get(3));
-        text = text.replace("{{Advisor}}", advisor);
+        text = text.replace("{{Advisor}}", advisor).replace("{{CloudApi.Address}}", machines).replace("{{CloudApi.DutyPerS}}", "64.0");
         // A placeholder without a value gives nothing: no machines to move, no advice.
         text = text.replaceAll("\\{\\{[^}]*\\}\\}", "");
         settings = folder.resolve(id + ".toml");
@@ -54,7 +54,10 @@
     }
 
     void start() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(command);
+        // FileDescriptors of the sites (DEPLOY, Settings of a process); the program is started in the place of the shell.
+        List<String> limited = new ArrayList<>(List.of("sh", "-c", "ulimit -n 4100 && exec \"$@\"", "sh"));
+        limited.addAll(command);
+        ProcessBuilder builder = new ProcessBuilder(limited);
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("VERBENAGAUGE_NODE_FILE", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
@@ -66,6 +69,12 @@
         return answer != null && answer.status() == 200;
     }
 
+    /** Number of open descriptors of the process. */
+    int descriptors() {
+        String[] names = new java.io.File("/proc/" + process.pid() + "/fd").list();
+        return names == null ? -1 : names.length;
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/review/rig/Http.java
+++ b/review/rig/Http.java
@@ -73,6 +73,16 @@
         channels.forEach(channel -> close(channel.socket));
     }
 
+    /** Ends as a process that has gone: its port is free and its channels are closed. */
+    void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            // It is closed.
+        }
+        channels.forEach(channel -> close(channel.socket));
+    }
+
     private void accept() {
         try {
             while (true) {
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -19,12 +19,14 @@
     final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     final Object lock = new Object();
     final Store store = new Store();
-    final List<Worker> workers = new ArrayList<>();
+    final List<Worker> workers = new java.util.concurrent.CopyOnWriteArrayList<>();
     final List<Entry> entries = new ArrayList<>();
     /** All runs of all workers, in the order of their starts. */
     final List<Worker.Run> runs = new ArrayList<>();
     /** Address of the service for advice; empty for none. */
     String advisor = "";
+    /** Address of the machines' API; empty for none. */
+    String machines = "";
     /** Most tasks that ran at once, and the starts that brought it there. */
     long mostRunning;
     final List<String> overruns = new ArrayList<>();
@@ -81,7 +83,7 @@
                 workers.forEach(Worker::advance);
             }
         }));
-        for (int i = 0; i < count; i++) entries.add(new Entry(i, store.port(i), folder, advisor));
+        for (int i = 0; i < count; i++) entries.add(new Entry(i, store.port(i), folder, advisor, machines));
         for (Entry entry : entries) entry.start();
         if (!await(30_000, () -> entries.stream().allMatch(Entry::isReady) && store.leader() >= 0)) {
             throw new IllegalStateException("the entries are not ready, see " + folder);
@@ -200,6 +202,7 @@
                 case "cancel" -> new Cancel(rig).play();
                 case "lasting" -> new Lasting(rig).play();
                 case "foreign" -> new Foreign(rig).play();
+                case "moves" -> new Moves(rig).play();
                 case "future" -> new Future(rig).play();
                 default -> throw new IllegalArgumentException("no case " + words[0]);
             };
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -52,6 +52,11 @@
         apply(List.of(new Row(table, "", key, value, 0)));
     }
 
+    /** Removes a row as the platform does. */
+    synchronized void drop(String table, String key) {
+        apply(List.of(new Row(table, "", key, null, 0)));
+    }
+
     private Http.Answer handle(Http.Call call, int index) throws Exception {
         switch (call.path()) {
             case "/v1/rows-tx":
--- a/review/rig/Worker.java
+++ b/review/rig/Worker.java
@@ -55,6 +55,9 @@
     final Http port;
     final Map<String, Run> running = new HashMap<>();
     final List<Run> ends = new ArrayList<>();
+    /** Machine that this worker is a life of. */
+    final String machine;
+    private boolean isGone;
     private final Map<String, Long> highestGone = new HashMap<>();
     private final Watch watch;
     private final Object lock;
@@ -66,6 +69,11 @@
     private long sequence;
 
     Worker(String id, String service, long cpu, Object lock, Watch watch) throws IOException {
+        this(id, "m-" + id, service, cpu, lock, watch);
+    }
+
+    Worker(String id, String machine, String service, long cpu, Object lock, Watch watch) throws IOException {
+        this.machine = machine;
         this.id = id;
         this.service = service;
         this.cpu = cpu;
@@ -78,7 +86,7 @@
     Map<String, Object> listed() {
         return Json.map("Service", service, "Address", port.address(), "Zone", "zone-a", "Version", "1", "Slots", 8,
                 "State", "ready", "ColdRemainingMs", 0, "Sequence", ++sequence, "Capacity",
-                Json.map("Cpu", cpu, "MemMb", 131_072, "Gpu", 0), "Labels", List.of("a", "r1-1"), "Machine", "m-" + id,
+                Json.map("Cpu", cpu, "MemMb", 131_072, "Gpu", 0), "Labels", List.of("a", "r1-1"), "Machine", machine,
                 "born", born);
     }
 
@@ -90,8 +98,18 @@
         return clock() > leaseUntil;
     }
 
+    /** Ends this life at once, with everything that runs; called under the lock. */
+    void leave() {
+        isGone = true;
+        running.clear();
+        ends.clear();
+        lock.notifyAll();
+        port.close();
+    }
+
     /** Lets time pass; called under the lock. */
     void advance() {
+        if (isGone) return;
         long now = System.nanoTime() / 1_000_000;
         boolean hasLapsed = hasLapsed();
         for (Run run : new ArrayList<>(running.values())) {
@@ -115,6 +133,7 @@
 
     private Http.Answer handle(Http.Call call) throws InterruptedException {
         synchronized (lock) {
+            if (isGone) return null;
             advance();
             String intended = call.headers().get("x-verbenagauge-expected-instance");
             if (intended != null && !intended.equals(id)) return new Http.Answer(421, "{}");
@@ -180,7 +199,7 @@
             return true;
         });
         long until = System.nanoTime() / 1_000_000 + Math.min(2_000, (Long) call.getOrDefault("WaitMs", 0L));
-        for (long left = 1; ends.isEmpty() && left > 0; left = until - System.nanoTime() / 1_000_000) lock.wait(left);
+        for (long left = 1; ends.isEmpty() && !isGone && left > 0; left = until - System.nanoTime() / 1_000_000) lock.wait(left);
         List<Object> runs = new ArrayList<>();
         long now = System.nanoTime() / 1_000_000;
         for (Run run : running.values()) {
