--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -203,6 +203,7 @@
                 case "lasting" -> new Lasting(rig).play();
                 case "foreign" -> new Foreign(rig).play();
                 case "moves" -> new Moves(rig).play();
+                case "roster" -> new Roster(rig).play();
                 case "future" -> new Future(rig).play();
                 default -> throw new IllegalArgumentException("no case " + words[0]);
             };
