--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -26,6 +26,9 @@
     volatile long lateMillis;
     /** Text that a late write holds. */
     volatile String lateText = "";
+    /** Writes of all entries while some are late, and those of them that are late. */
+    final java.util.concurrent.atomic.AtomicInteger writesMeanwhile = new java.util.concurrent.atomic.AtomicInteger();
+    final java.util.concurrent.atomic.AtomicInteger lateMeanwhile = new java.util.concurrent.atomic.AtomicInteger();
     /** Number of writes that were late, and the status that each had. */
     final List<String> late = new ArrayList<>();
     /** Largest value that was refused because a row holds at most RowBytes. */
@@ -62,7 +65,9 @@
             case "/v1/rows-tx":
                 Thread.sleep(3);
                 long delay = lateMillis;
+                if (delay > 0) writesMeanwhile.incrementAndGet();
                 if (delay > 0 && new String(call.body(), java.nio.charset.StandardCharsets.UTF_8).contains(lateText)) {
+                    lateMeanwhile.incrementAndGet();
                     Http.daemon(() -> carryOutLate(call.body(), index, delay));
                     // A channel on which an answer is lost delivers nothing further.
                     call.channel().isSilent = true;
