Jobs follow the newest settings of their queue

Cause: JobRegistry.accept looked the queue up once. The owner had not read the configuration yet, took the queue for a removed one without a service, and kept that for the life of the job; JobEngine.configure told nothing to the jobs it had. Service, attempts, priority, objective and advice were all captured this way.

Event 7017 and a gauge now show a job that waits for its queue.

Why it works: a job is stored with the settings under which it was accepted, so an owner needs no configuration that has the queue; and a new configuration moves the known jobs from their old index entries to the new ones. Rows of earlier releases, which lack the settings, start with the first configuration that has the queue.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -153,6 +153,12 @@
         metrics.gauge("verbenagauge_suspect_jobs", "Jobs of which the owner retries only one task at a time") {
             ownership.suspectJobs().toDouble()
         }
+        metrics.gauge(
+            "verbenagauge_jobs_of_unknown_queues",
+            "Jobs that wait because the owner knows no settings of their queue",
+        ) {
+            ownership.jobsOfUnknownQueues().toDouble()
+        }
         metrics.gauge("verbenagauge_owner_row_bytes", "Size of the owner's row, as last read by this entry") {
             catalogue.owner
                 ?.record
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -6,7 +6,7 @@
 internal class EarlierRuns(
     private val state: EngineState,
 ) {
-    private val knownQueues = HashSet<String>()
+    private val knownQueues = HashSet<Pair<String, String>>()
 
     /**
      * Whether all runs of earlier owners for [queue] are known. This holds once every worker that may hold one has
@@ -20,7 +20,9 @@
         queue: QueueConfiguration,
         now: Long,
     ): Boolean {
-        if (queue.name in knownQueues) return true
+        // A queue that was moved may have runs on the workers of either service.
+        val key = queue.name to queue.serviceName
+        if (key in knownQueues) return true
         val unreported = state.workers.values.filter { mayHold(it, queue) && !it.hasReportedAll }
         // The leases of workers that answer are renewed and do not expire, so only their listings tell which runs
         // exist.
@@ -30,7 +32,7 @@
             } else {
                 state.areWorkersKnown && unreported.isEmpty()
             }
-        if (areKnown && knownQueues.add(queue.name)) note(queue, unreported, now)
+        if (areKnown && knownQueues.add(key)) note(queue, unreported, now)
         return areKnown
     }
 
@@ -44,6 +46,7 @@
         queue: QueueConfiguration,
     ): Boolean {
         if (state.isRosterKnown) return queue.name in state.roster.restoredQueuesOf(worker.id)
+        if (queue.serviceName.isEmpty()) return true
         return worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -80,6 +80,8 @@
     LISTING_UNREADABLE,
     ACCOUNT_SURPLUS,
     JOB_HOPELESS,
+    QUEUE_UNKNOWN,
+    JOB_SERVICE_CHANGED,
 }
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -138,10 +138,16 @@
 internal class JobEntry(
     val id: String,
     val record: JobRecord,
-    val queue: QueueConfiguration,
+    queue: QueueConfiguration,
     val acceptedAtMillis: Long,
     val mayHaveEarlierRuns: Boolean,
 ) {
+    /** Newest known settings of its queue; the name never changes. */
+    var queue = queue
+
+    /** Whether no settings of its queue are known, so that none of its tasks can start. */
+    val isQueueUnknown get() = queue.serviceName.isEmpty()
+
     /** Opened occurrences that are not done, by number. */
     val open = sortedMapOf<Int, OccurrenceEntry>()
     val doneOccurrences = HashSet<Int>()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -68,11 +68,15 @@
         placement.rackOf = { state.workers[it]?.listed?.rack }
     }
 
-    /** Applies [configuration] if its version is higher than the current one. */
-    fun configure(configuration: JobsConfiguration) {
+    /** Applies [configuration] if its version is higher than the current one, also to the jobs that are known. */
+    fun configure(
+        configuration: JobsConfiguration,
+        now: Long = state.startedAtMillis,
+    ) {
         if (configuration.version <= (state.configuration?.version ?: -1)) return
         state.configuration = configuration
         accounts.configure(configuration)
+        registry.reconfigure(now)
     }
 
     /**
@@ -487,6 +491,9 @@
     /** Number of jobs that are suspected of causing their own failures. */
     val suspectJobs: Int get() = doubts.count
 
+    /** Number of jobs that wait because no settings of their queue are known. */
+    val jobsOfUnknownQueues: Int get() = state.jobs.values.count { it.isQueueUnknown }
+
     /** Number of jobs without a started run, by queue name. */
     fun pendingByQueue(): Map<String, Int> = state.pending.byQueue()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -33,7 +33,7 @@
     ) {
         if (id in state.jobs) return
         if (state.hasEnded(id)) return accounts.accepted(id, record, now)
-        val queue = state.configuration?.queue(record.queueName) ?: removedQueue(record.queueName)
+        val queue = queueOf(record, known = null)
         val job = JobEntry(id, record, queue, acceptedAtMillis, mayHaveEarlierRuns)
         state.jobs[id] = job
         state.pending.add(job)
@@ -43,12 +43,63 @@
         val share = if (job.share.isSurplus) ", surplus of account '${record.teamName}'" else ""
         val text = "queue '${queue.name}', inherited $mayHaveEarlierRuns, ${describe(record)}$share"
         state.note(NoteKind.JOB_TAKEN, id, text)
+        if (job.isQueueUnknown) noteUnknownQueue(job)
         if (progress != null) restore(job, progress, now)
         if (!record.specification.isScheduled) open(job, 0, now)
         endIfDone(job)
+        failIfExhausted(job)
         if (id in state.earlyCancellations) cancel(id, now)
     }
 
+    /** Applies the queue settings of the current configuration to the jobs that are already known. */
+    fun reconfigure(now: Long) {
+        state.jobs.values.toList().forEach { job ->
+            val queue = queueOf(job.record, known = job.queue)
+            if (queue != job.queue) changeQueue(job, queue, now)
+        }
+    }
+
+    // Indexes by service and rank are derived from the settings, so the job leaves them and enters them again.
+    private fun changeQueue(
+        job: JobEntry,
+        queue: QueueConfiguration,
+        now: Long,
+    ) {
+        val previous = job.queue
+        ready.remove(job)
+        job.queue = queue
+        ready.add(job)
+        state.pressure.objectiveChanged(job)
+        if (previous.serviceName != queue.serviceName) {
+            job.open.values
+                .flatMap { it.steps }
+                .forEach { it.tickets = null }
+            val services = "from service '${previous.serviceName}' to '${queue.serviceName}'"
+            state.note(NoteKind.JOB_SERVICE_CHANGED, job.id, "queue '${queue.name}' $services")
+        }
+        failIfExhausted(job)
+        if (job.state.isFinal) stopRuns(job, now)
+    }
+
+    // The newest known settings. The configuration may be older than the job, or may no longer have its queue; the
+    // accepted job still has to run.
+    private fun queueOf(
+        record: JobRecord,
+        known: QueueConfiguration?,
+    ): QueueConfiguration {
+        val accepted = record.acceptedQueue
+        val configuration = state.configuration
+        val isNewer = accepted != null && accepted.configurationVersion > (configuration?.version ?: -1)
+        val current = if (isNewer) null else configuration?.queue(record.queueName)
+        return current ?: known ?: accepted?.toQueue(record.queueName) ?: unknownQueue(record.queueName)
+    }
+
+    private fun noteUnknownQueue(job: JobEntry) {
+        val version = state.configuration?.version
+        val detail = "queue '${job.queue.name}' is not in configuration $version and its settings are not stored"
+        state.note(NoteKind.QUEUE_UNKNOWN, job.id, "$detail; the job waits for a configuration with the queue")
+    }
+
     private fun describe(record: JobRecord): String =
         record.specification.steps.joinToString(prefix = "steps ") { step ->
             val kind = listOfNotNull("lasting".takeIf { step.isLasting }, "filler".takeIf { step.isFiller })
@@ -175,6 +226,16 @@
         if (!task.step.specification.isLasting && failures(task) >= attempts) end(task.job, JobState.FAILED)
     }
 
+    // The number of attempts may have been lowered below that of the failed runs.
+    private fun failIfExhausted(job: JobEntry) {
+        val isExhausted =
+            job.tasks().any { task ->
+                val isWaiting = task.phase == TaskPhase.READY && task.failedRuns.isNotEmpty()
+                isWaiting && !task.step.specification.isLasting && failures(task) >= job.queue.maxAttempts
+            }
+        if (isExhausted) end(job, JobState.FAILED)
+    }
+
     // A gang fails as a whole, so the failed runs of all its members count.
     private fun failures(task: TaskEntry): Int {
         if (!task.step.specification.isGang) return task.failedRuns.size
@@ -194,10 +255,17 @@
             return false
         }
         end(job, JobState.CANCELLED)
-        job.tasks().flatMap { it.runs }.forEach { runs.stop(it, now) }
+        stopRuns(job, now)
         return true
     }
 
+    private fun stopRuns(
+        job: JobEntry,
+        now: Long,
+    ) {
+        job.tasks().flatMap { it.runs }.forEach { runs.stop(it, now) }
+    }
+
     private fun end(
         job: JobEntry,
         finalState: JobState,
@@ -213,21 +281,22 @@
         state.note(NoteKind.JOB_ENDED, job.id, "$finalState, queue '${job.queue.name}'")
     }
 
-    // Lets a job end whose queue the operator has removed.
-    private fun removedQueue(name: String) =
+    // Lets the job be shown and cancelled; no worker belongs to its service.
+    private fun unknownQueue(name: String) =
         QueueConfiguration(
             name = name,
             host = "",
             pathPrefix = "",
             serviceName = "",
             priority = Int.MAX_VALUE,
-            maxAttempts = REMOVED_QUEUE_ATTEMPTS,
+            maxAttempts = UNKNOWN_QUEUE_ATTEMPTS,
             slackFactor = 1.0,
             objectiveMillis = 0,
             isOpen = false,
         )
 
     private companion object {
-        const val REMOVED_QUEUE_ATTEMPTS = 3
+        // No run may fail the job before the number of attempts of its queue is known.
+        const val UNKNOWN_QUEUE_ATTEMPTS = Int.MAX_VALUE
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/PressureMeter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/PressureMeter.kt
@@ -40,15 +40,23 @@
                 ?.teams
                 ?.get(job.record.teamName)
                 ?.weight ?: 0.0
-        val objectiveMillis = job.objectiveAtMillis(state.runTimes) - job.acceptedAtMillis
         val steps =
             job.specification.steps.map {
                 val cpuMillis = if (it.isFiller) 0 else it.amount.cpuMillis
                 StepWork(it.taskCount, cpuMillis, state.runTimes.expectMillis(job.queue.name, it.estimatedMillis))
             }
         val isSurplus = surplus.isSurplus(job.record.teamName, weight, job.acceptedAtMillis)
-        val usefulUntilMillis = job.acceptedAtMillis + objectiveMillis * USEFUL_OBJECTIVE_MULTIPLE
-        backlog.add(job.id, JobWork(job.queue.name, isSurplus, usefulUntilMillis, steps))
+        backlog.add(job.id, JobWork(job.queue.name, isSurplus, usefulUntilMillis(job), steps))
+    }
+
+    /** Updates the time for which the work of [job] is useful, after a change of its objective. */
+    fun objectiveChanged(job: JobEntry) {
+        if (isEnabled) backlog.changeUsefulUntil(job.id, usefulUntilMillis(job))
+    }
+
+    private fun usefulUntilMillis(job: JobEntry): Long {
+        val objectiveMillis = job.objectiveAtMillis(state.runTimes) - job.acceptedAtMillis
+        return job.acceptedAtMillis + objectiveMillis * USEFUL_OBJECTIVE_MULTIPLE
     }
 
     /** Removes the work of [task], which is done, from the backlog. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
@@ -34,7 +34,15 @@
         readyByService[job.queue.serviceName]?.rankChanged(job)
     }
 
-    /** Removes [job], which has ended. */
+    /** Adds [job] with its ready tasks under the present settings of its queue, after [remove]. */
+    fun add(job: JobEntry) {
+        job.open.values
+            .flatMap { it.steps }
+            .filter { it.readyCount > 0 }
+            .forEach { changed(it, it.readyCount) }
+    }
+
+    /** Removes [job], which has ended or whose queue settings are about to change. */
     fun remove(job: JobEntry) {
         readyByService[job.queue.serviceName]?.remove(job)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobCalls.kt
@@ -6,6 +6,7 @@
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
 import org.verbenagauge.entry.jobs.records.JobRecord
+import org.verbenagauge.entry.jobs.records.acceptedQueue
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
@@ -28,12 +29,13 @@
 public sealed interface Admittance {
     /**
      * The call may use [queue] on behalf of [teamName], which is empty on open queues; [jobId] is empty for a call
-     * about the queue itself.
+     * about the queue itself. [configurationVersion] is the version of the configuration that has the queue.
      */
     public data class Granted(
         val queue: QueueConfiguration,
         val teamName: String,
         val jobId: String,
+        val configurationVersion: Long = 0,
     ) : Admittance
 
     /** No configuration has been read yet. */
@@ -72,9 +74,9 @@
         val current = configuration ?: return Admittance.NotReady
         val queue = current.queueFor(context.host, context.path) ?: return Admittance.NoQueue
         val jobId = context.path.removePrefix(queue.pathPrefix).trim('/')
-        if (queue.isOpen) return Admittance.Granted(queue, "", jobId)
+        if (queue.isOpen) return Admittance.Granted(queue, "", jobId, current.version)
         val team = context.key?.let(current::teamOf) ?: return Admittance.KeyUnknown
-        return Admittance.Granted(queue, team, jobId)
+        return Admittance.Granted(queue, team, jobId, current.version)
     }
 
     /** Checks queue and key of a call about [jobId] that names its queue; an empty [jobId] means the queue itself. */
@@ -85,9 +87,9 @@
     ): Admittance {
         val current = configuration ?: return Admittance.NotReady
         val queue = current.queue(queueName) ?: return Admittance.NoQueue
-        if (queue.isOpen) return Admittance.Granted(queue, "", jobId)
+        if (queue.isOpen) return Admittance.Granted(queue, "", jobId, current.version)
         val team = key?.let(current::teamOf) ?: return Admittance.KeyUnknown
-        return Admittance.Granted(queue, team, jobId)
+        return Admittance.Granted(queue, team, jobId, current.version)
     }
 
     /** Submits a job, using up to a fixed fraction of [waitMillis]. */
@@ -96,7 +98,8 @@
         specification: JobSpecification,
         waitMillis: Long,
     ): SubmitOutcome {
-        val record = JobRecord(admitted.queue.name, admitted.teamName, clock.wallMillis(), specification)
+        val queue = acceptedQueue(admitted.queue, admitted.configurationVersion)
+        val record = JobRecord(admitted.queue.name, admitted.teamName, clock.wallMillis(), specification, queue)
         val startedMillis = clock.monotonicMillis()
         val outcome =
             front.submit(admitted.jobId, record, deadline(waitMillis)) { refusals ->
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobWriter.kt
@@ -31,7 +31,7 @@
     private val catalogue: StateCatalogue,
     private val clock: Clock,
     private val jobId: String,
-    private val record: JobRecord,
+    private var record: JobRecord,
     private val knownVersion: Long,
     private val decide: (refusals: Int) -> AdmissionDecision,
 ) {
@@ -81,7 +81,10 @@
 
                 is TransactionOutcome.Rejected -> {
                     cause = outcome.cause
-                    return unsettled()
+                    // A job that exceeds the longest row only with the settings of its queue is stored without them.
+                    if (isRefused || record.acceptedQueue == null) return unsettled()
+                    record = record.copy(acceptedQueue = null)
+                    continue
                 }
 
                 is TransactionOutcome.Unavailable -> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/JobsConfiguration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/JobsConfiguration.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.model
 
+import kotlinx.serialization.Serializable
 import org.verbenagauge.entry.model.sha256Hex
 
 /**
@@ -73,6 +74,7 @@
  * @property perWorkerMillis additional time for each worker in the request.
  * @property validityMillis time for which a ticket is valid.
  */
+@Serializable
 public data class AdviceConfiguration(
     val decisionMillis: Double,
     val perWorkerMillis: Double,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -31,4 +31,6 @@
         NoteKind.LISTING_UNREADABLE -> Event.LISTING_UNREADABLE
         NoteKind.ACCOUNT_SURPLUS -> Event.ACCOUNT_SURPLUS
         NoteKind.JOB_HOPELESS -> Event.JOB_HOPELESS
+        NoteKind.QUEUE_UNKNOWN -> Event.QUEUE_UNKNOWN
+        NoteKind.JOB_SERVICE_CHANGED -> Event.JOB_SERVICE_CHANGED
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -63,10 +63,13 @@
     /** Number of jobs suspected of causing their own failures; 0 while this entry is not the owner. */
     fun suspectJobs(): Int = engine?.suspectJobs ?: 0
 
+    /** Number of jobs that wait for the settings of their queue; 0 while this entry is not the owner. */
+    fun jobsOfUnknownQueues(): Int = engine?.jobsOfUnknownQueues ?: 0
+
     /** Applies the configuration [newer]. */
     fun configure(newer: JobsConfiguration) {
         configuration = newer
-        engine?.configure(newer)
+        engine?.configure(newer, clock.monotonicMillis())
         term?.wake()
     }
 
@@ -162,7 +165,7 @@
         val newTerm = OwnerTerm(ports, lease, newEngine, cleaner, workVersion, clock, settings, log, broadcast)
         engine = newEngine
         term = newTerm
-        configuration?.let(newEngine::configure)
+        configuration?.let { newEngine.configure(it, clock.monotonicMillis()) }
         newEngine.evacuate(evacuatedZoneIds, clock.monotonicMillis())
         if (isStopping) newTerm.release()
         try {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -15,6 +15,8 @@
  *
  * @property teamName account whose key was sent with the job; empty on open queues.
  * @property acceptedUnixMillis time at which an entry accepted the job.
+ * @property acceptedQueue settings of the queue under which the job was accepted; null in records of releases that did
+ * not store them.
  */
 @Serializable
 public data class JobRecord(
@@ -22,6 +24,7 @@
     val teamName: String,
     val acceptedUnixMillis: Long,
     val specification: JobSpecification,
+    val acceptedQueue: AcceptedQueue? = null,
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/BacklogTracker.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/load/BacklogTracker.kt
@@ -102,6 +102,21 @@
         if (job.isUseful) subtract(job, work.workPerTask, work.cpuMillis)
     }
 
+    /** Changes the time until which the result of [jobId] is useful; work that has expired stays expired. */
+    public fun changeUsefulUntil(
+        jobId: String,
+        usefulUntilMillis: Long,
+    ) {
+        val job = jobs[jobId] ?: return
+        if (!job.isUseful || job.work.usefulUntilMillis == usefulUntilMillis) return
+        // The expiry queue skips jobs that are no longer useful, so the previous entry may stay in it.
+        job.isUseful = false
+        val changed = JobBacklog(job.work.copy(usefulUntilMillis = usefulUntilMillis), job.totals)
+        job.openTasks.copyInto(changed.openTasks)
+        jobs[jobId] = changed
+        jobsByExpiry += changed
+    }
+
     /** Removes the job [jobId], which has ended. */
     public fun remove(jobId: String) {
         val job = jobs.remove(jobId) ?: return
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -65,6 +65,8 @@
     JOBS_REFUSED(7014, Level.INFO),
     ACCOUNT_SURPLUS(7016, Level.INFO),
     JOB_HOPELESS(7015, Level.WARN),
+    QUEUE_UNKNOWN(7017, Level.WARN),
+    JOB_SERVICE_CHANGED(7018, Level.INFO),
     RUN_ORDERED(7020, Level.INFO),
     RUN_ENDED(7021, Level.INFO),
     RUN_LOST(7022, Level.WARN),
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineIndexesTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineIndexesTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.load.LoadSettings
@@ -16,7 +17,10 @@
     private val now: Long,
 ) {
     private val state = engine.state
-    private val waiting = state.jobs.values.filter { job -> job.tasks().any { it.phase == TaskPhase.READY } }
+    private val waiting =
+        state.jobs.values.filter { job ->
+            job.queue.serviceName == SERVICE && job.tasks().any { it.phase == TaskPhase.READY }
+        }
 
     fun withinShare() =
         AccountShareOrder(state.runTimes).sorted(waiting.filter { !it.share.isSurplus }, now).map { it.id }
@@ -110,6 +114,18 @@
     if (engine.mayStart) scan.startable() shouldBe emptyList()
 }
 
+private fun compareSettings(
+    engine: JobEngine,
+    now: Long,
+) {
+    compare(engine, now)
+    val configured = engine.state.configuration?.queue(QUEUE) ?: return
+    engine.state.jobs.values
+        .filter { it.queue != configured }
+        .map { it.id }
+        .shouldBeEmpty()
+}
+
 class EngineIndexesTest :
     FunSpec({
         test(
@@ -122,11 +138,26 @@
             }
         }
 
+        // Guards against jobs that stay in the index of the service that their queue had when they were read.
+        test("after changes of a queue's settings the indexes match a full scan, and every job ends") {
+            (1..SEEDS).forEach { seed ->
+                withClue("seed $seed") {
+                    val pool = VirtualPool(seed, queueChanges = 12, afterDecision = ::compareSettings)
+                    pool.simulate(FAULTY_MILLIS, 3 * FAULT_FREE_MILLIS) shouldBe emptyList()
+                    pool.oracle.unfinished().shouldBeEmpty()
+                }
+            }
+        }
+
         test("with account shares, surplus is ordered last and no room is kept empty") {
             val limits = EngineLimits(load = LoadSettings(accountShares = true))
             (1..SEEDS).forEach { seed ->
                 withClue("seed $seed") {
-                    VirtualPool(seed, limits, ::compareShares).simulate(FAULTY_MILLIS, FAULT_FREE_MILLIS) shouldBe
+                    VirtualPool(
+                        seed,
+                        limits,
+                        afterDecision = ::compareShares,
+                    ).simulate(FAULTY_MILLIS, FAULT_FREE_MILLIS) shouldBe
                         emptyList()
                 }
             }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -2,6 +2,7 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.jobs.model.JobState
+import org.verbenagauge.entry.jobs.model.QueueConfiguration
 import org.verbenagauge.entry.jobs.ports.ListingOutcome
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.records.JobRecord
@@ -18,12 +19,13 @@
 
 /**
  * Simulates the engine with one seed against virtual workers in virtual time: answers are lost, orders arrive late and
- * out of order, workers crash and stop answering, owners change while the stored ends are stale. [afterDecision] is
- * called with the engine after each of its decisions.
+ * out of order, workers crash and stop answering, owners change while the stored ends are stale. The settings of the
+ * queue change [queueChanges] times. [afterDecision] is called with the engine after each of its decisions.
  */
 internal class VirtualPool(
     seed: Int,
     private val limits: EngineLimits = EngineLimits(),
+    private val queueChanges: Int = 0,
     private val afterDecision: (JobEngine, Long) -> Unit = { _, _ -> },
 ) {
     private class Event(
@@ -51,6 +53,8 @@
     private val storedRoster = LinkedHashMap<String, RosterRecord>()
     val states = HashMap<String, JobState>()
 
+    private var configuration = configuration(Amount(cpuMillis = TEAM_CPU_MILLIS), maxAttempts = MANY_ATTEMPTS)
+    private var readConfiguration = configuration
     private var decidedAtMillis = Long.MIN_VALUE / 2
     private var epoch = 0L
     private var engine: JobEngine? = null
@@ -75,10 +79,35 @@
         repeat(TAKEOVERS) { at(random.nextLong(faultMillis)) { stopOwner() } }
         repeat(CRASHES) { at(random.nextLong(faultMillis)) { crash(workers.values.random(random)) } }
         repeat(SILENCES) { at(random.nextLong(faultMillis)) { silenceWorker(workers.values.random(random)) } }
+        repeat(queueChanges) { at(random.nextLong(faultMillis)) { configure(randomQueues()) } }
+        if (queueChanges > 0) at(faultMillis) { configure(configuration().queues) }
         at(faultMillis) { hasFaults = false }
         return run(faultMillis + faultFreeMillis)
     }
 
+    // The owner may read a configuration long after it was written, and an entry that takes over may not have read it.
+    private fun configure(queues: List<QueueConfiguration>) {
+        val newer = configuration.copy(version = configuration.version + 1, queues = withManyAttempts(queues))
+        trace += "$now configuration ${newer.version}: ${newer.queues}"
+        configuration = newer
+        at(random.nextLong(1_500)) {
+            if (newer.version > readConfiguration.version) readConfiguration = newer
+            engine?.configure(newer, now)
+        }
+    }
+
+    private fun withManyAttempts(queues: List<QueueConfiguration>) = queues.map { it.copy(maxAttempts = MANY_ATTEMPTS) }
+
+    // The queue is removed, goes to a service without workers, or gets another priority and objective.
+    private fun randomQueues(): List<QueueConfiguration> {
+        val queue = configuration().queues.single()
+        return when (random.nextInt(4)) {
+            0 -> emptyList()
+            1 -> listOf(queue.copy(serviceName = "desk"))
+            else -> listOf(queue.copy(priority = random.nextInt(3), objectiveMillis = random.nextLong(100, 9_000)))
+        }
+    }
+
     /** Simulates [faultFreeMillis] without any faults; returns the violated rules. */
     fun simulateWithoutFaults(faultFreeMillis: Long): List<String> {
         hasFaults = false
@@ -157,7 +186,7 @@
         if (engine != null) return
         val next = JobEngine(++epoch, limits, now)
         engine = next
-        next.configure(configuration(Amount(cpuMillis = TEAM_CPU_MILLIS), maxAttempts = MANY_ATTEMPTS))
+        next.configure(readConfiguration)
         storedJobs.forEach { (id, record) ->
             if (states[id]?.isFinal !=
                 true
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobFrontTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/front/JobFrontTest.kt
@@ -7,13 +7,16 @@
 import org.verbenagauge.entry.clock.systemClock
 import org.verbenagauge.entry.jobs.MemoryRowStore
 import org.verbenagauge.entry.jobs.StoreFault
+import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
 import org.verbenagauge.entry.jobs.engine.step
 import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.owner.StoredTables
 import org.verbenagauge.entry.jobs.ports.RowChange
+import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.StateRecord
+import org.verbenagauge.entry.jobs.records.acceptedQueue
 import org.verbenagauge.entry.logging.EventLog
 
 private const val JOB = "00000000000000aa"
@@ -89,6 +92,18 @@
             front(store).lookup(JOB, 200) shouldBe JobLookup.Found(JobState.COMPLETED)
         }
 
+        // Guards against the refusal of jobs that earlier releases accepted.
+        test("a job that exceeds the longest row only with the settings of its queue is stored without them") {
+            val record = job(step(1))
+            val bytes = RecordCodec.encode(JobRecord.serializer(), record).size
+            val store = MemoryRowStore(maxRowBytes = bytes)
+            val queue = acceptedQueue(configuration().queues.single(), configurationVersion = 1)
+            front(store).submit(JOB, record.copy(acceptedQueue = queue), deadlineMillis = 1_000) shouldBe
+                SubmitOutcome.Accepted
+            val row = store.row(StoredTables.work(JOB), StoredTables.jobKey(JOB))?.value
+            RecordCodec.decode(JobRecord.serializer(), checkNotNull(row)) shouldBe record
+        }
+
         test("a job that was never submitted is unknown, but only if the store has answered") {
             val store = MemoryRowStore()
             front(store).lookup(JOB, 200) shouldBe JobLookup.Unknown
