Store all progress of a job before its ends are acknowledged

Cause: the progress of a job was one row without a bound. The store rejected it from some 7,250 done tasks on; OwnerWriter gave up storing the progress of that job and acknowledged the ends all the same.

Why it works: progress beyond a row continues in pages of 256 tasks, of which changed ones are written, so the progress of any accepted job fits; ends are acknowledged only after a write that stored every change. The row keeps what fits in the form that earlier releases read.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -5,6 +5,7 @@
 import org.verbenagauge.entry.jobs.ports.StartOrder
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.records.ProgressRecord
+import org.verbenagauge.entry.jobs.records.TaskNumbers
 
 /** Side effect that the engine requests from its owner. */
 internal sealed interface EngineAction {
@@ -89,12 +90,14 @@
  *
  * @property state state that callers see.
  * @property progress progress to store; null if [state] is final.
+ * @property numbers numbers of the tasks of the job.
  */
 internal data class JobChange(
     val jobId: String,
     val queueName: String,
     val state: JobState,
     val progress: ProgressRecord?,
+    val numbers: TaskNumbers,
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -133,7 +133,7 @@
 
     /** Marks [job] as ended; its final state is stored instead of its progress. */
     fun markEnded(job: JobEntry) {
-        val change = JobChange(job.id, job.queue.name, job.state, progress = null)
+        val change = JobChange(job.id, job.queue.name, job.state, progress = null, job.numbers)
         finalChanges[job.id] = change
         rememberEnd(job.id)
         changes[job.id] = change
@@ -174,7 +174,7 @@
         return ids.mapNotNull { id ->
             val ending = changes.remove(id)
             finalChanges.remove(id)
-            ending ?: jobs[id]?.let { JobChange(it.id, it.queue.name, it.state, it.progress()) }
+            ending ?: jobs[id]?.let { JobChange(it.id, it.queue.name, it.state, it.progress(), it.numbers) }
         }
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -7,7 +7,9 @@
 import org.verbenagauge.entry.jobs.model.TaskId
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
+import org.verbenagauge.entry.jobs.records.TaskNumbers
 import org.verbenagauge.entry.load.ShareStatus
+import java.util.BitSet
 
 /** Scheduling state of one task. */
 internal enum class TaskPhase {
@@ -150,7 +152,8 @@
 
     /** Opened occurrences that are not done, by number. */
     val open = sortedMapOf<Int, OccurrenceEntry>()
-    val doneOccurrences = HashSet<Int>()
+    val doneOccurrences = BitSet()
+    val numbers = TaskNumbers(record.specification)
     var state = JobState.QUEUED
 
     /** Receives changes of the tasks; null once the job has ended. */
@@ -215,7 +218,6 @@
     /** Returns the progress to store. */
     fun progress(): ProgressRecord {
         val done = ArrayList<String>()
-        doneOccurrences.forEach { done += "$it" }
         val failed = HashMap<String, List<Long>>()
         val checkpoints = HashMap<String, String>()
         tasks().forEach { task ->
@@ -224,7 +226,7 @@
             if (task.failedRuns.isNotEmpty() && task.phase != TaskPhase.DONE) failed[key] = task.failedRuns.toList()
             if (task.checkpoint.isNotEmpty() && task.phase != TaskPhase.DONE) checkpoints[key] = task.checkpoint
         }
-        return ProgressRecord(done, failed, checkpoints, hasStarted)
+        return ProgressRecord(done, failed, checkpoints, hasStarted, doneOccurrences.toLongArray().toList())
     }
 }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -4,6 +4,7 @@
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
+import java.util.BitSet
 
 /** Adds jobs, opens their steps in dependency order and ends them. */
 internal class JobRegistry(
@@ -115,11 +116,11 @@
             job.hasStarted = true
             job.state = JobState.ACTIVE
         }
-        progress.doneTasks.filter { '.' !in it }.mapNotNullTo(job.doneOccurrences) { it.toIntOrNull() }
+        restoreDoneOccurrences(job, progress)
         val startedKeys = progress.doneTasks.filter { '.' in it } + progress.failedRuns.keys + progress.checkpoints.keys
         startedKeys
             .mapNotNullTo(HashSet()) { it.substringBefore('.').toIntOrNull() }
-            .filter { it !in job.doneOccurrences }
+            .filter { it in 0 until job.specification.occurrenceCount && !job.doneOccurrences[it] }
             .forEach { open(job, it, now) }
         val done = progress.doneTasks.toSet()
         job.tasks().toList().forEach { task ->
@@ -133,13 +134,25 @@
             .forEach { openReadySteps(it, now) }
     }
 
+    private fun restoreDoneOccurrences(
+        job: JobEntry,
+        progress: ProgressRecord,
+    ) {
+        job.doneOccurrences.or(BitSet.valueOf(progress.doneOccurrenceWords.toLongArray()))
+        progress.doneTasks
+            .filter { '.' !in it }
+            .mapNotNull { it.toIntOrNull() }
+            .filter { it in 0 until job.specification.occurrenceCount }
+            .forEach { job.doneOccurrences.set(it) }
+    }
+
     /** Opens occurrence [number] of [job] unless it was opened before. */
     fun open(
         job: JobEntry,
         number: Int,
         now: Long,
     ) {
-        if (number in job.open || number in job.doneOccurrences) return
+        if (number in job.open || job.doneOccurrences[number]) return
         val occurrence = OccurrenceEntry(job, number)
         job.open[number] = occurrence
         openReadySteps(occurrence, now)
@@ -159,7 +172,7 @@
     private fun JobEntry.isDue(
         number: Int,
         unixMillis: Long,
-    ) = number !in open && number !in doneOccurrences && specification.dueUnixMillis(number) <= unixMillis
+    ) = number !in open && !doneOccurrences[number] && specification.dueUnixMillis(number) <= unixMillis
 
     /** Marks [task] as done, opens the steps that waited for it and ends its job if nothing is left. */
     fun completeTask(
@@ -171,7 +184,7 @@
         val occurrence = task.step.occurrence
         openReadySteps(occurrence, now)
         if (occurrence.isDone) {
-            task.job.doneOccurrences += occurrence.number
+            task.job.doneOccurrences.set(occurrence.number)
             task.job.open.remove(occurrence.number)
         }
         state.markChanged(task.job)
@@ -211,7 +224,7 @@
     }
 
     private fun endIfDone(job: JobEntry) {
-        val isDone = job.doneOccurrences.size >= job.specification.occurrenceCount
+        val isDone = job.doneOccurrences.cardinality() >= job.specification.occurrenceCount
         if (isDone) end(job, JobState.COMPLETED)
     }
 
@@ -220,10 +233,11 @@
         task: TaskEntry,
         runId: Long,
     ) {
+        // Tasks that last may fail any number of times, so their failed runs are neither counted nor kept.
+        if (task.step.specification.isLasting) return state.markChanged(task.job)
         if (!task.failedRuns.add(runId)) return
         state.markChanged(task.job)
-        val attempts = task.job.queue.maxAttempts
-        if (!task.step.specification.isLasting && failures(task) >= attempts) end(task.job, JobState.FAILED)
+        if (failures(task) >= task.job.queue.maxAttempts) end(task.job, JobState.FAILED)
     }
 
     // The number of attempts may have been lowered below that of the failed runs.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -45,6 +45,7 @@
     private val lease: OwnerLease,
     private val engine: JobEngine,
     private val cleaner: EndedJobCleaner,
+    progressRows: ProgressRows,
     private val workVersion: Long,
     private val clock: Clock,
     private val settings: OwnerSettings,
@@ -54,7 +55,7 @@
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val drivers = HashMap<String, WorkerDriver>()
     private val endReason = CompletableDeferred<String>()
-    private val writer = OwnerWriter(lease, engine, clock, settings, cleaner)
+    private val writer = OwnerWriter(lease, engine, clock, settings, cleaner, progressRows)
     private var releaseRequested = false
 
     /** Latency of the decisions of this term. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -11,7 +11,6 @@
 import org.verbenagauge.entry.jobs.model.JobState
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.records.OwnerFigures
-import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.RosterRecord
 import org.verbenagauge.entry.jobs.records.StateRecord
@@ -23,13 +22,18 @@
     private val clock: Clock,
     private val settings: OwnerSettings,
     private val cleaner: EndedJobCleaner,
+    private val progressRows: ProgressRows = ProgressRows(),
 ) {
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val writtenStateNames = HashMap<String, String>()
     private var flushed = CompletableDeferred<Unit>()
 
-    // Jobs whose progress the store rejects; their state is still stored, since callers query it.
-    private val unstorableProgress = HashSet<String>()
+    // Jobs whose progress the store rejects in rows of any size, with the time of the next attempt. Their state is still
+    // stored, since callers query it.
+    private val retryProgressAtMillis = HashMap<String, Long>()
+
+    // Whether the last write stored all changes that it was made for.
+    private var isWriteComplete = true
 
     private val suspension = SuspensionDetector(clock)
     private var leaseInvalidatedAtMillis = Long.MIN_VALUE
@@ -74,24 +78,58 @@
     }
 
     private suspend fun writeOnce(onStored: (Map<String, JobState>) -> Unit): ChainOutcome.Lost? {
+        retryRejectedProgress()
+        isWriteComplete = true
         val roster = engine.state.roster.takeChanges(MAX_WORKERS)
         val changes = engine.state.takeChanges(if (roster.isEmpty()) MAX_JOBS else MAX_JOBS_WITH_WORKERS)
         val marks = if (engine.state.hasChanges) emptyList() else engine.acknowledgeableEnds()
         val waiters = flushed
         if (marks.isNotEmpty()) flushed = CompletableDeferred()
-        val expired = cleaner.takeExpiredStateKeys(MAX_EXPIRED_STATES).map { RowChange(StoredTables.states, it, null) }
+        val expired =
+            cleaner.takeExpiredStateKeys(MAX_REMOVALS).map { RowChange(StoredTables.states, it, null) }
+        val obsolete =
+            progressRows
+                .takeObsoleteKeys(MAX_REMOVALS - expired.size)
+                .map { RowChange(StoredTables.progressPages, it, null) }
         val isRosterComplete = engine.isRosterComplete(clock.monotonicMillis())
-        val parts = roster.map(::rosterPart) + changes.map(::jobPart) + WritePart(expired)
-        val lost = write(parts, ownerFigures(), isRosterComplete)
-        if (lost != null) return lost
-        // Includes ends whose progress the store rejects: workers could not discard any later end otherwise.
-        engine.markEndsStored(marks)
+        val parts = roster.map(::rosterPart) + changes.map(::jobPart) + WritePart(expired + obsolete)
+        val figures = ownerFigures()
+        transactions(parts).forEach { some -> write(some, figures, isRosterComplete)?.let { return it } }
+        // An end is acknowledged only once its effect is stored; a worker forgets it then.
+        if (isWriteComplete && retryProgressAtMillis.isEmpty()) engine.markEndsStored(marks)
         changes.filter { it.state.isFinal }.forEach { cleaner.recordEnd(it.jobId, clock.wallMillis()) }
         if (marks.isNotEmpty()) waiters.complete(Unit)
         onStored(changes.associate { it.jobId to it.state })
         return null
     }
 
+    // Groups [parts] so that each group fits into one transaction; without parts, the owner's row alone is written.
+    private fun transactions(parts: List<WritePart>): List<List<WritePart>> {
+        val groups = arrayListOf(ArrayList<WritePart>())
+        var rows = 0
+        var bytes = 0
+        parts.forEach { part ->
+            val partBytes = part.rows.sumOf { it.value?.size ?: 0 }
+            if (rows + part.rows.size > MAX_ROWS || bytes + partBytes > MAX_BYTES) {
+                if (groups.last().isNotEmpty()) groups += ArrayList<WritePart>()
+                rows = 0
+                bytes = 0
+            }
+            groups.last() += part
+            rows += part.rows.size
+            bytes += partBytes
+        }
+        return groups
+    }
+
+    private fun retryRejectedProgress() {
+        val now = clock.monotonicMillis()
+        retryProgressAtMillis.keys.removeIf { it !in engine.state.jobs }
+        retryProgressAtMillis.filterValues { it <= now }.keys.forEach { jobId ->
+            engine.state.jobs[jobId]?.let(engine.state::markChanged)
+        }
+    }
+
     // Bisects a rejected write, so that one row that the store never accepts does not keep the others from being stored.
     private suspend fun write(
         parts: List<WritePart>,
@@ -126,33 +164,45 @@
         return WritePart(listOf(row), onStored = { engine.state.roster.confirmStored(listOf(change)) })
     }
 
-    private fun jobPart(change: JobChange): WritePart =
-        WritePart(jobRows(change), onRejected = { writeWithoutProgress(change.jobId) })
+    private fun jobPart(change: JobChange): WritePart {
+        val isHeldBack = (retryProgressAtMillis[change.jobId] ?: Long.MIN_VALUE) > clock.monotonicMillis()
+        val progress =
+            if (isHeldBack && change.progress != null) {
+                ProgressWrite(emptyList(), isComplete = true)
+            } else {
+                progressRows.write(change)
+            }
+        return WritePart(
+            rows = progress.rows + stateRows(change),
+            onStored = {
+                if (!isHeldBack) retryProgressAtMillis -= change.jobId
+                progressRows.confirm(change.jobId, progress.rows, hasEnded = change.progress == null)
+                if (!progress.isComplete) writeAgain(change.jobId)
+            },
+            onRejected = { retryInSmallerRows(change.jobId) },
+        )
+    }
 
-    private fun writeWithoutProgress(jobId: String) {
-        if (!unstorableProgress.add(jobId)) return
-        writtenStateNames -= jobId
+    private fun writeAgain(jobId: String) {
+        isWriteComplete = false
         engine.state.jobs[jobId]?.let(engine.state::markChanged)
     }
 
-    private fun jobRows(change: JobChange): List<RowChange> {
-        val rows = ArrayList<RowChange>()
-        val progress = change.progress
-        if (progress == null) {
-            unstorableProgress -= change.jobId
-            rows += RowChange(StoredTables.progress, change.jobId, null)
-        } else if (change.jobId !in unstorableProgress) {
-            val bytes = RecordCodec.encode(ProgressRecord.serializer(), progress)
-            rows += RowChange(StoredTables.progress, change.jobId, bytes)
-        }
-        if (writtenStateNames[change.jobId] != change.state.name) {
-            writtenStateNames[change.jobId] = change.state.name
-            val record = StateRecord(change.queueName, change.state, clock.wallMillis())
-            val bytes = RecordCodec.encode(StateRecord.serializer(), record)
-            rows += RowChange(StoredTables.states, StoredTables.stateKey(change.jobId), bytes)
+    private fun retryInSmallerRows(jobId: String) {
+        writtenStateNames -= jobId
+        if (!progressRows.shrink(jobId)) {
+            retryProgressAtMillis[jobId] = clock.monotonicMillis() + REJECTED_RETRY_MILLIS
         }
-        if (progress == null) writtenStateNames.remove(change.jobId)
-        return rows
+        writeAgain(jobId)
+    }
+
+    private fun stateRows(change: JobChange): List<RowChange> {
+        if (change.state.isFinal) writtenStateNames.remove(change.jobId)
+        if (writtenStateNames[change.jobId] == change.state.name) return emptyList()
+        if (!change.state.isFinal) writtenStateNames[change.jobId] = change.state.name
+        val record = StateRecord(change.queueName, change.state, clock.wallMillis())
+        val bytes = RecordCodec.encode(StateRecord.serializer(), record)
+        return listOf(RowChange(StoredTables.states, StoredTables.stateKey(change.jobId), bytes))
     }
 
     /**
@@ -173,6 +223,13 @@
         const val MAX_JOBS = 40
         const val MAX_WORKERS = 40
         const val MAX_JOBS_WITH_WORKERS = 20
-        const val MAX_EXPIRED_STATES = 15
+        const val MAX_REMOVALS = 15
+        const val MAX_ROWS = 99
+
+        // A transaction takes 1 MB, of which Base64 leaves three quarters.
+        const val MAX_BYTES = 650_000
+
+        // A store that rejects rows of any size is asked again at a rate that leaves its capacity to other writes.
+        const val REJECTED_RETRY_MILLIS = 1_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -152,17 +152,20 @@
         newEngine.state.isRosterKnown = record.keepsRoster
         val fullRowRetentionMillis = if (newLimits.load.accountShares) AccountShares.LOOKBACK_MILLIS else 0
         val cleaner = EndedJobCleaner(ports.store, clock, fullRowRetentionMillis)
-        val workVersion = loadStoredState(lease, newEngine, cleaner) ?: return
-        runTerm(lease, newEngine, cleaner, workVersion)
+        val progressRows = ProgressRows()
+        val workVersion = loadStoredState(lease, newEngine, cleaner, progressRows) ?: return
+        runTerm(lease, newEngine, cleaner, progressRows, workVersion)
     }
 
     private suspend fun runTerm(
         lease: OwnerLease,
         newEngine: JobEngine,
         cleaner: EndedJobCleaner,
+        progressRows: ProgressRows,
         workVersion: Long,
     ) {
-        val newTerm = OwnerTerm(ports, lease, newEngine, cleaner, workVersion, clock, settings, log, broadcast)
+        val newTerm =
+            OwnerTerm(ports, lease, newEngine, cleaner, progressRows, workVersion, clock, settings, log, broadcast)
         engine = newEngine
         term = newTerm
         configuration?.let { newEngine.configure(it, clock.monotonicMillis()) }
@@ -184,9 +187,10 @@
         lease: OwnerLease,
         newEngine: JobEngine,
         cleaner: EndedJobCleaner,
+        progressRows: ProgressRows,
     ): Long? =
         coroutineScope {
-            val reading = async { StoredStateLoader(ports.store, clock, log).read(newEngine, cleaner) }
+            val reading = async { StoredStateLoader(ports.store, clock, log).read(newEngine, cleaner, progressRows) }
             val renewing =
                 launch {
                     val lost = OwnerLeaseRenewal(lease, settings).renewWhile { reading.isActive && !isStopping }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredStateLoader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredStateLoader.kt
@@ -13,10 +13,10 @@
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.records.JobRecord
-import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.RecordCodec
 import org.verbenagauge.entry.jobs.records.RosterRecord
 import org.verbenagauge.entry.jobs.records.StateRecord
+import org.verbenagauge.entry.jobs.records.TaskNumbers
 import org.verbenagauge.entry.logging.Event
 import org.verbenagauge.entry.logging.EventLog
 
@@ -36,6 +36,7 @@
     suspend fun read(
         engine: JobEngine,
         cleaner: EndedJobCleaner,
+        progressRows: ProgressRows,
     ): Long {
         val places =
             listOf(
@@ -43,19 +44,29 @@
                 StoredTables.work,
                 listOf(StoredTables.progress),
                 listOf(StoredTables.roster),
+                listOf(StoredTables.progressPages),
             )
-        val (states, work, progress, roster) = coroutineScope { places.map { async { readAll(it) } }.awaitAll() }
+        val (states, work, progress, roster, pages) = coroutineScope { places.map { async { readAll(it) } }.awaitAll() }
         states.rows.forEachInBatches { loadState(it, engine, cleaner) }
         val progressByJob = progress.rows.associateBy { it.key }
-        work.rows.forEachInBatches { loadJob(it, progressByJob, engine, cleaner) }
+        val pagesByJob = pages.rows.filter { it.value != null }.groupBy { StoredTables.jobIdOfPage(it.key) }
+        work.rows.forEachInBatches { loadJob(it, progressByJob, pagesByJob, engine, cleaner) }
+        val storedIds = work.rows.filter { !isEnded(it) }.mapNotNullTo(HashSet()) { StoredTables.jobIdOf(it.key) }
+        pagesByJob.forEach { (jobId, rows) ->
+            val isNeeded = jobId in storedIds && !engine.state.hasEnded(jobId)
+            val keys = rows.map { it.key }
+            if (isNeeded) progressRows.recordStored(jobId, keys) else progressRows.recordObsolete(keys)
+        }
         work.rows.mapNotNull { StoredTables.cancelledId(it.key) }.forEach { engine.cancel(it, clock.monotonicMillis()) }
         roster.rows.forEachInBatches { loadWorker(it, engine) }
-        val counts = "${work.rows.size} job rows, ${progress.rows.size} progress rows, ${roster.rows.size} worker rows"
+        val counts = "${work.rows.size} job rows, ${progress.rows.size + pages.rows.size} progress rows, ${roster.rows.size} worker rows"
         val durationMillis = clock.monotonicMillis() - engine.state.startedAtMillis
         log.write(Event.JOBS_INHERITED, "$counts; completed $durationMillis ms after the takeover")
         return work.version
     }
 
+    private fun isEnded(row: StoredRow) = row.value?.let(StoredTables::isEndedTombstone) ?: true
+
     // Yields between batches, since the same thread renews the lease.
     private suspend fun List<StoredRow>.forEachInBatches(action: (StoredRow) -> Unit) {
         chunked(BATCH_ROWS).forEach { rows ->
@@ -79,6 +90,7 @@
     private fun loadJob(
         row: StoredRow,
         progressByJob: Map<String, StoredRow>,
+        pagesByJob: Map<String, List<StoredRow>>,
         engine: JobEngine,
         cleaner: EndedJobCleaner,
     ) {
@@ -90,7 +102,11 @@
             if (StoredTables.isBar(value)) cleaner.recordRefusal(jobId, row.version)
             return
         }
-        val progress = progressByJob[jobId]?.value?.let { RecordCodec.decode(ProgressRecord.serializer(), it) }
+        val pages = pagesByJob[jobId].orEmpty()
+        val progress =
+            mergeProgress(progressByJob[jobId], pages, TaskNumbers(record.specification)) { key ->
+                log.write(Event.DOCUMENT_UNREADABLE, key, "progress of a job; its tasks may start again")
+            }
         val ageMillis = (clock.wallMillis() - record.acceptedUnixMillis).coerceAtLeast(0)
         val now = clock.monotonicMillis()
         engine.inherit(jobId, record, progress, now - ageMillis, now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredTables.kt
@@ -10,6 +10,9 @@
     /** Progress of jobs, for the next owner. */
     val progress = RowPlace("progress", OWNER_PARTITION)
 
+    /** Continuation of the progress of jobs whose progress exceeds a row. */
+    val progressPages = RowPlace("progressPages", OWNER_PARTITION)
+
     /** States of jobs for all entries, and the row of the owner. */
     val states = RowPlace("states", OWNER_PARTITION)
 
@@ -52,6 +55,18 @@
     /** Returns the id of the job that [key] cancels, or null if it cancels none. */
     fun cancelledId(key: String): String? = key.takeIf { it.startsWith(CANCEL_PREFIX) }?.removePrefix(CANCEL_PREFIX)
 
+    /** Key of the page [name] of the progress of a job in [progressPages]. */
+    fun pageKey(
+        jobId: String,
+        name: String,
+    ) = "$jobId/$name"
+
+    /** Returns the id of the job whose progress the page with [key] continues. */
+    fun jobIdOfPage(key: String): String = key.substringBeforeLast('/')
+
+    /** Returns the name of the page with [key]. */
+    fun pageName(key: String): String = key.substringAfterLast('/')
+
     /** Whether [value] is an accepted job. */
     fun isJob(value: ByteArray): Boolean = RecordCodec.decode(JobRecord.serializer(), value) != null
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -38,12 +38,15 @@
 )
 
 /**
- * Stored progress of a job. It is written before workers are allowed to discard the results of ended runs.
+ * Stored progress of a job. It is written before workers are allowed to discard the results of ended runs. Progress
+ * that exceeds a row continues in [ProgressPage]s; the row then holds what fits, for releases that read no pages.
  *
- * @property doneTasks local keys of tasks that are done.
+ * @property doneTasks local keys of tasks that are done, and numbers of occurrences that are done.
  * @property failedRuns failed runs by local key of the task.
  * @property checkpoints latest checkpoint by local key of the task.
  * @property isStarted whether a worker has shown a run; releases that store a record with the first order leave it out.
+ * @property doneOccurrenceWords occurrences that are done, in addition to those in [doneTasks]: bit I of word W stands
+ * for occurrence 64 x W + I.
  */
 @Serializable
 public data class ProgressRecord(
@@ -51,12 +54,32 @@
     val failedRuns: Map<String, List<Long>> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
     val isStarted: Boolean = false,
+    val doneOccurrenceWords: List<Long> = emptyList(),
 ) {
     /** Whether a run of the job has started. */
     val showsStart: Boolean
-        get() = isStarted || doneTasks.isNotEmpty() || failedRuns.isNotEmpty() || checkpoints.isNotEmpty()
+        get() =
+            isStarted ||
+                doneTasks.isNotEmpty() ||
+                doneOccurrenceWords.isNotEmpty() ||
+                failedRuns.isNotEmpty() ||
+                checkpoints.isNotEmpty()
 }
 
+/**
+ * Stored progress of a fixed range of the tasks of a job, numbered as [TaskNumbers] does.
+ *
+ * @property doneWords tasks that are done: bit I of word W stands for task 64 x W + I of the page.
+ * @property failedRuns failed runs by position of the task in the page.
+ * @property checkpoints latest checkpoint by position of the task in the page.
+ */
+@Serializable
+internal data class ProgressPage(
+    val doneWords: List<Long> = emptyList(),
+    val failedRuns: Map<Int, List<Long>> = emptyMap(),
+    val checkpoints: Map<Int, String> = emptyMap(),
+)
+
 /**
  * Stored state of a job, which all entries read.
  *
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/MemoryRowStore.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/MemoryRowStore.kt
@@ -34,6 +34,9 @@
 ) : RowStore {
     /** Keys of the rows in each rejected transaction. */
     val rejectedKeys = ArrayList<List<String>>()
+
+    /** Key of a row that is rejected in any size; null for none. */
+    var rejectedKey: String? = null
     val faults = ArrayDeque<StoreFault>()
     private val rows = LinkedHashMap<Pair<RowPlace, String>, StoredRow>()
     private var version = 0L
@@ -58,7 +61,7 @@
         expectations: List<RowExpectation>,
         changes: List<RowChange>,
     ): TransactionOutcome {
-        if (changes.any { (it.value?.size ?: 0) > maxRowBytes }) {
+        if (changes.any { (it.value?.size ?: 0) > maxRowBytes || it.key == rejectedKey }) {
             rejectedKeys += changes.map { it.key }
             return TransactionOutcome.Rejected("value too long")
         }
@@ -90,6 +93,18 @@
         key: String,
     ): StoredRow? = rows[place to key]
 
+    /** Number of rows at [place]. */
+    fun rowCount(place: RowPlace): Int = rows.keys.count { it.first == place }
+
+    /** Stores [value] as another writer does. */
+    fun put(
+        place: RowPlace,
+        key: String,
+        value: ByteArray,
+    ) {
+        rows[place to key] = StoredRow(place.table, key, value, ++version)
+    }
+
     override suspend fun readAll(places: List<RowPlace>): ReadResult<RowBatch> =
         ReadResult.Read(RowBatch(rows.filterKeys { it.first in places }.values.toList(), version))
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RefusalRowTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/RefusalRowTest.kt
@@ -48,7 +48,7 @@
                 val clock = clock()
                 val engine = JobEngine(2, EngineLimits(), clock.monotonicMillis()).apply { configure(configuration()) }
                 val cleaner = EndedJobCleaner(store, clock)
-                StoredStateLoader(store, clock, EventLog("a") {}).read(engine, cleaner)
+                StoredStateLoader(store, clock, EventLog("a") {}).read(engine, cleaner, ProgressRows())
                 engine.state.jobs.keys shouldBe emptySet()
                 backgroundScope.launch { cleaner.run() }
                 advanceTimeBy(170_000)
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/StartAfterProcessPauseTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/StartAfterProcessPauseTest.kt
@@ -90,7 +90,19 @@
     val workers = SingleWorker()
     val ports = OwnerPorts(store, workers, advisor = null, workers, waves = null)
     val cleaner = EndedJobCleaner(store, clock)
-    val term = OwnerTerm(ports, lease, engine, cleaner, workVersion = 1, clock, OwnerSettings(), log, broadcast = null)
+    val term =
+        OwnerTerm(
+            ports,
+            lease,
+            engine,
+            cleaner,
+            ProgressRows(),
+            workVersion = 1,
+            clock,
+            OwnerSettings(),
+            log,
+            broadcast = null,
+        )
     val running = backgroundScope.launch { term.run() }
     advanceTimeBy(1_000)
     running.cancel()
