Bound the tasks that an owner holds over all jobs

Cause: JobRegistry.openDue created the tasks of each due occurrence, 1,051,200 here. The limits of a specification bound its factors, not what an owner holds.

The rest is derived from the specification and the occurrences that are done.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Supervisor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/Supervisor.kt
@@ -50,6 +50,9 @@
         log.write(Event.CHILD_RESTARTED, "'${child.name}' ended and starts again: $e")
     } catch (e: Exception) {
         log.write(Event.CHILD_RESTARTED, "'${child.name}' failed and starts again: $e")
+    } catch (e: Error) {
+        // An entry whose part stays away would still be ready and hold its duties.
+        log.write(Event.CHILD_RESTARTED, "'${child.name}' failed and starts again: $e")
     }
 }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -159,6 +159,15 @@
         ) {
             ownership.jobsOfUnknownQueues().toDouble()
         }
+        metrics.gauge("verbenagauge_open_tasks", "Tasks that the owner holds, of jobs that are due") {
+            ownership.openTasks().toDouble()
+        }
+        metrics.gauge(
+            "verbenagauge_jobs_with_waiting_occurrences",
+            "Jobs of which a part is due but not held by the owner, since it holds too many tasks",
+        ) {
+            ownership.jobsWithWaitingOccurrences().toDouble()
+        }
         metrics.gauge("verbenagauge_owner_row_bytes", "Size of the owner's row, as last read by this entry") {
             catalogue.owner
                 ?.record
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineLimits.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineLimits.kt
@@ -14,6 +14,7 @@
  * @property startupMillis longest time that a lasting task needs until it is operational.
  * @property avoidMillis time during which a worker on which runs fail gets no work.
  * @property clockMarginMillis safety margin added to the expiry of a lease of a worker without contact.
+ * @property maxOpenTasks number of tasks that the engine holds at the same time; further occurrences of jobs wait.
  * @property load decisions under load that are enabled.
  */
 public data class EngineLimits(
@@ -25,6 +26,7 @@
     val startupMillis: Long = 3_000,
     val avoidMillis: Long = 4_000,
     val clockMarginMillis: Long = 200,
+    val maxOpenTasks: Long = 200_000,
     val load: LoadSettings = LoadSettings(),
 )
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -51,14 +51,32 @@
     /** How the last known run ended, for the log. */
     var lastRunSummary = "no run is known"
 
-    /** Run numbers of the failed runs. */
-    val failedRuns = sortedSetOf<Long>()
+    // Most tasks never fail, and an owner holds very many tasks.
+    private var failures: Failures? = null
 
-    /** Whether a run was stopped on a slow machine so that the task continues on another one. */
-    var isRescued = false
+    private class Failures {
+        val runIds = sortedSetOf<Long>()
+        val workerIds = HashSet<String>()
+    }
+
+    /** Run numbers of the failed runs, in ascending order. */
+    val failedRuns: Set<Long> get() = failures?.runIds ?: emptySet()
 
     /** IDs of workers on which runs of this task failed or got stuck. */
-    val failedWorkerIds = HashSet<String>()
+    val failedWorkerIds: Set<String> get() = failures?.workerIds ?: emptySet()
+
+    /** Records that the run [runId] failed; returns false if that was known. */
+    fun addFailedRun(runId: Long): Boolean = failures().runIds.add(runId)
+
+    /** Records that a run of this task failed or got stuck on the worker [workerId]. */
+    fun addFailedWorker(workerId: String) {
+        failures().workerIds += workerId
+    }
+
+    private fun failures() = failures ?: Failures().also { failures = it }
+
+    /** Whether a run was stopped on a slow machine so that the task continues on another one. */
+    var isRescued = false
 
     val amount: Amount get() = step.specification.amount
     val job: JobEntry get() = step.occurrence.job
@@ -154,6 +172,23 @@
     val open = sortedMapOf<Int, OccurrenceEntry>()
     val doneOccurrences = BitSet()
     val numbers = TaskNumbers(record.specification)
+
+    /** Number of tasks of the open occurrences. */
+    var openTasks = 0L
+
+    /** Lowest occurrence that may be neither open nor done. */
+    var nextOccurrence = 0
+
+    /** Due time of that occurrence; for a job without a schedule, the time at which it was accepted. */
+    var nextDueUnixMillis = 0L
+
+    /** Returns the first occurrence that is neither open nor done, or null if there is none. */
+    fun nextUnopened(): Int? {
+        var number = nextOccurrence
+        while (number < specification.occurrenceCount && (number in open || doneOccurrences[number])) number++
+        return number.takeIf { it < specification.occurrenceCount }
+    }
+
     var state = JobState.QUEUED
 
     /** Receives changes of the tasks; null once the job has ended. */
@@ -221,10 +256,12 @@
         val failed = HashMap<String, List<Long>>()
         val checkpoints = HashMap<String, String>()
         tasks().forEach { task ->
-            val key = task.id.localKey
-            if (task.phase == TaskPhase.DONE) done += key
-            if (task.failedRuns.isNotEmpty() && task.phase != TaskPhase.DONE) failed[key] = task.failedRuns.toList()
-            if (task.checkpoint.isNotEmpty() && task.phase != TaskPhase.DONE) checkpoints[key] = task.checkpoint
+            if (task.phase == TaskPhase.DONE) {
+                done += task.id.localKey
+                return@forEach
+            }
+            if (task.failedRuns.isNotEmpty()) failed[task.id.localKey] = task.failedRuns.toList()
+            if (task.checkpoint.isNotEmpty()) checkpoints[task.id.localKey] = task.checkpoint
         }
         return ProgressRecord(done, failed, checkpoints, hasStarted, doneOccurrences.toLongArray().toList())
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -491,8 +491,14 @@
     /** Number of jobs that are suspected of causing their own failures. */
     val suspectJobs: Int get() = doubts.count
 
+    /** Number of tasks that the engine holds, of jobs that are due. */
+    val openTasks: Long get() = registry.openTasks
+
+    /** Number of jobs of which a part is due but not held yet, since the engine holds too many tasks. */
+    val jobsWithWaitingOccurrences: Int get() = registry.jobsWithWaitingOccurrences
+
     /** Number of jobs that wait because no settings of their queue are known. */
-    val jobsOfUnknownQueues: Int get() = state.jobs.values.count { it.isQueueUnknown }
+    val jobsOfUnknownQueues: Int get() = registry.jobsOfUnknownQueues
 
     /** Number of jobs without a started run, by queue name. */
     fun pendingByQueue(): Map<String, Int> = state.pending.byQueue()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -22,6 +22,18 @@
 
             override fun started(job: JobEntry) = state.pending.remove(job)
         }
+    private val opener = OccurrenceOpener(state.limits.maxOpenTasks, ::open)
+
+    private val idsOfUnknownQueues = HashSet<String>()
+
+    /** Number of jobs that wait because no settings of their queue are known. */
+    val jobsOfUnknownQueues: Int get() = idsOfUnknownQueues.size
+
+    /** Number of tasks of all open occurrences. */
+    val openTasks: Long get() = opener.openTasks
+
+    /** Number of jobs with an occurrence that is due but not open, since too many tasks are. */
+    val jobsWithWaitingOccurrences: Int get() = opener.waitingJobs
 
     /** Adds a job; [progress] is what an earlier owner stored, or null if nothing was stored. */
     fun accept(
@@ -44,9 +56,9 @@
         val share = if (job.share.isSurplus) ", surplus of account '${record.teamName}'" else ""
         val text = "queue '${queue.name}', inherited $mayHaveEarlierRuns, ${describe(record)}$share"
         state.note(NoteKind.JOB_TAKEN, id, text)
-        if (job.isQueueUnknown) noteUnknownQueue(job)
+        if (job.isQueueUnknown) waitForQueue(job)
         if (progress != null) restore(job, progress, now)
-        if (!record.specification.isScheduled) open(job, 0, now)
+        opener.add(job, now)
         endIfDone(job)
         failIfExhausted(job)
         if (id in state.earlyCancellations) cancel(id, now)
@@ -69,6 +81,7 @@
         val previous = job.queue
         ready.remove(job)
         job.queue = queue
+        idsOfUnknownQueues -= job.id
         ready.add(job)
         state.pressure.objectiveChanged(job)
         if (previous.serviceName != queue.serviceName) {
@@ -95,7 +108,8 @@
         return current ?: known ?: accepted?.toQueue(record.queueName) ?: unknownQueue(record.queueName)
     }
 
-    private fun noteUnknownQueue(job: JobEntry) {
+    private fun waitForQueue(job: JobEntry) {
+        idsOfUnknownQueues += job.id
         val version = state.configuration?.version
         val detail = "queue '${job.queue.name}' is not in configuration $version and its settings are not stored"
         state.note(NoteKind.QUEUE_UNKNOWN, job.id, "$detail; the job waits for a configuration with the queue")
@@ -126,7 +140,7 @@
         job.tasks().toList().forEach { task ->
             val key = task.id.localKey
             if (key in done) markDone(task)
-            task.failedRuns += progress.failedRuns[key].orEmpty()
+            progress.failedRuns[key]?.forEach { task.addFailedRun(it) }
             task.checkpoint = progress.checkpoints[key].orEmpty()
         }
         job.open.values
@@ -155,25 +169,18 @@
         if (number in job.open || job.doneOccurrences[number]) return
         val occurrence = OccurrenceEntry(job, number)
         job.open[number] = occurrence
+        opener.recordOpened(job)
         openReadySteps(occurrence, now)
     }
 
-    /** Opens the occurrences of scheduled jobs that are due at [unixMillis]. */
+    /** Opens the occurrences that are due at [unixMillis], as far as the number of open tasks allows. */
     fun openDue(
         unixMillis: Long,
         now: Long,
     ) {
-        state.jobs.values.filter { it.specification.isScheduled }.forEach { job ->
-            val due = (0 until job.specification.occurrenceCount).filter { job.isDue(it, unixMillis) }
-            due.forEach { open(job, it, now) }
-        }
+        opener.openDue(unixMillis, now)
     }
 
-    private fun JobEntry.isDue(
-        number: Int,
-        unixMillis: Long,
-    ) = number !in open && !doneOccurrences[number] && specification.dueUnixMillis(number) <= unixMillis
-
     /** Marks [task] as done, opens the steps that waited for it and ends its job if nothing is left. */
     fun completeTask(
         task: TaskEntry,
@@ -185,7 +192,7 @@
         openReadySteps(occurrence, now)
         if (occurrence.isDone) {
             task.job.doneOccurrences.set(occurrence.number)
-            task.job.open.remove(occurrence.number)
+            if (task.job.open.remove(occurrence.number) != null) opener.recordClosed(task.job)
         }
         state.markChanged(task.job)
         endIfDone(task.job)
@@ -235,7 +242,7 @@
     ) {
         // Tasks that last may fail any number of times, so their failed runs are neither counted nor kept.
         if (task.step.specification.isLasting) return state.markChanged(task.job)
-        if (!task.failedRuns.add(runId)) return
+        if (!task.addFailedRun(runId)) return
         state.markChanged(task.job)
         if (failures(task) >= task.job.queue.maxAttempts) end(task.job, JobState.FAILED)
     }
@@ -289,6 +296,8 @@
         state.jobs.remove(job.id)
         job.listener = null
         ready.remove(job)
+        opener.remove(job)
+        idsOfUnknownQueues -= job.id
         state.pressure.ended(job)
         if (!job.hasStarted) state.pending.remove(job)
         state.markEnded(job)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -130,7 +130,7 @@
         // The task can succeed, so the failure says something about the worker only.
         if (task.phase == TaskPhase.DONE) return health.recordFailure(worker, task, now)
         val isWorkersFault = suspectJobs.recordFailure(task, runId, worker, now)
-        if (isWorkersFault) health.recordFailure(worker, task, now) else task.failedWorkerIds += worker.id
+        if (isWorkersFault) health.recordFailure(worker, task, now) else task.addFailedWorker(worker.id)
         registry.recordFailure(task, runId)
         if (task.job.state.isFinal) stopAllRuns(task.job, now)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/StuckGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/StuckGuard.kt
@@ -15,7 +15,7 @@
                 .filter { it.phase == RunPhase.RUNNING && isStuck(it, worker, now) }
                 .toList()
                 .forEach { run ->
-                    runs.taskOf(run.taskId)?.failedWorkerIds?.add(worker.id)
+                    runs.taskOf(run.taskId)?.addFailedWorker(worker.id)
                     health.recordStuckRun(worker, run, now)
                     runs.stop(run, now)
                 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerHealth.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerHealth.kt
@@ -39,7 +39,7 @@
         now: Long,
     ) {
         val failedElsewhere = task.failedWorkerIds.any { it != worker.id }
-        task.failedWorkerIds += worker.id
+        task.addFailedWorker(worker.id)
         if (failedElsewhere || task.step.specification.isLasting) return
         machineMonitor?.let { return it.recordFailure(worker, task, now) }
         worker.failStreak++
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -63,6 +63,12 @@
     /** Number of jobs suspected of causing their own failures; 0 while this entry is not the owner. */
     fun suspectJobs(): Int = engine?.suspectJobs ?: 0
 
+    /** Number of tasks that the engine holds; 0 while this entry is not the owner. */
+    fun openTasks(): Long = engine?.openTasks ?: 0
+
+    /** Number of jobs of which a part is due but not held; 0 while this entry is not the owner. */
+    fun jobsWithWaitingOccurrences(): Int = engine?.jobsWithWaitingOccurrences ?: 0
+
     /** Number of jobs that wait for the settings of their queue; 0 while this entry is not the owner. */
     fun jobsOfUnknownQueues(): Int = engine?.jobsOfUnknownQueues ?: 0
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/TaskNumbers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/TaskNumbers.kt
@@ -7,7 +7,9 @@
     private val specification: JobSpecification,
 ) {
     private val firstOfStep = specification.steps.runningFold(0L) { first, step -> first + step.taskCount }
-    private val tasksPerOccurrence = firstOfStep.last()
+
+    /** Number of tasks of one occurrence. */
+    val tasksPerOccurrence = firstOfStep.last()
 
     /** Returns the number of the task with the local key [key], or null if the job has no such task. */
     fun numberOf(key: String): Long? {
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/SupervisionTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/SupervisionTest.kt
@@ -14,7 +14,7 @@
 
 private data class FailureCase(
     val name: String,
-    val failure: () -> Exception?,
+    val failure: () -> Throwable?,
 )
 
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -24,6 +24,8 @@
             withData(
                 nameFn = { it.name },
                 FailureCase("after an error that nothing expects") { IllegalStateException("broken") },
+                // Guards against entries that are ready and useless, since one of their parts has ended for good.
+                FailureCase("after an error of the virtual machine") { OutOfMemoryError("Java heap space") },
                 FailureCase("after a part of it was cancelled") { CancellationException("gone") },
                 FailureCase("after it ended") { null },
             ) { case ->
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineFuzzTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobEngineFuzzTest.kt
@@ -52,6 +52,11 @@
             playWithFaults(LOAD_SEEDS, EngineLimits(load = LoadSettings(accountShares = true, hopelessWork = true)))
         }
 
+        // Guards against jobs that never start because others hold all tasks that may be open.
+        test("the same holds when only few tasks may be open at the same time") {
+            playWithFaults(LOAD_SEEDS, EngineLimits(maxOpenTasks = 40))
+        }
+
         test("without faults no gang member is left alone, no lease expires and every job ends") {
             (1..FAULT_FREE_SEEDS).forEach { seed ->
                 val pool = VirtualPool(seed)
