Store the cancel of a job that is not stored yet

Cause: JobFront.cancel answered that the job is unknown when it read neither a job nor a state, and stored nothing, while the store still carried out a write that was sent before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -160,6 +160,11 @@
         if (earlyCancellations.size > MAX_EARLY_CANCELLATIONS) earlyCancellations.remove(earlyCancellations.first())
     }
 
+    /** Discards the cancellation of the job [id], whose row is gone. */
+    fun forgetEarlyCancellation(id: String) {
+        earlyCancellations -= id
+    }
+
     /** Whether the job [id] may have been accepted but has not been read yet. */
     fun isUnreadJob(id: String): Boolean = id !in jobs && !hasEnded(id)
 
@@ -182,7 +187,7 @@
         // A run number must fit into 53 bits, so that every JSON reader keeps it exact.
         const val MAX_RUNS_PER_EPOCH = 10_000_000L
 
-        // Far more cancellations than can be read before their jobs.
+        // More than the cancellations that entries may store before their jobs.
         const val MAX_EARLY_CANCELLATIONS = 50_000
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/front/JobFront.kt
@@ -56,7 +56,7 @@
     /** The cancellation is stored, or the job has already ended. */
     public data object Cancelled : CancelOutcome
 
-    /** There is no such job. */
+    /** There is no such job, and an attempt to submit it that is still in flight starts nothing. */
     public data object Unknown : CancelOutcome
 
     /** The cancellation is not known to be stored, because of [cause]; a retry makes sense. */
@@ -71,6 +71,8 @@
     private val catalogue: StateCatalogue,
     private val clock: Clock,
 ) {
+    private val unknownCancellations = RecentCancellations()
+
     /**
      * Stores [record] as the job [jobId], retrying until [deadlineMillis] on the monotonic clock. [decide] returns
      * whether to accept a job that was refused the given number of times before.
@@ -122,22 +124,34 @@
         }
     }
 
-    /** Stores the cancellation of [jobId], retrying until [deadlineMillis] on the monotonic clock. */
+    /**
+     * Stores the cancellation of [jobId], retrying until [deadlineMillis] on the monotonic clock. A job that is not
+     * stored may be on its way, since the store may carry out a write seconds after it was sent; so its cancellation is
+     * stored as well, and the owner ends the job as cancelled when it comes.
+     */
     suspend fun cancel(
         jobId: String,
         deadlineMillis: Long,
     ): CancelOutcome {
-        when (val lookup = lookup(jobId, deadlineMillis)) {
-            is JobLookup.Unknown -> return CancelOutcome.Unknown
-            is JobLookup.Unavailable -> return CancelOutcome.Unsettled(lookup.cause)
-            is JobLookup.Found -> if (lookup.state.isFinal) return CancelOutcome.Cancelled
-        }
+        val lookup = lookup(jobId, deadlineMillis)
+        if (lookup is JobLookup.Unavailable) return CancelOutcome.Unsettled(lookup.cause)
+        if (lookup is JobLookup.Found && lookup.state.isFinal) return CancelOutcome.Cancelled
+        if (lookup is JobLookup.Found) return storeCancellation(jobId, deadlineMillis) ?: CancelOutcome.Cancelled
+        if (!unknownCancellations.tryAdd(clock.monotonicMillis())) return tooManyCancellations
+        return storeCancellation(jobId, deadlineMillis) ?: CancelOutcome.Unknown
+    }
+
+    // Returns null when the cancellation is stored.
+    private suspend fun storeCancellation(
+        jobId: String,
+        deadlineMillis: Long,
+    ): CancelOutcome? {
         val change = RowChange(StoredTables.work(jobId), StoredTables.cancelKey(jobId), CANCEL_MARK)
         var cause = "deadline exceeded"
         while (clock.monotonicMillis() < deadlineMillis) {
             when (val outcome = store.transact(emptyList(), listOf(change), attemptMillis(deadlineMillis))) {
-                is TransactionOutcome.Applied -> return CancelOutcome.Cancelled
-                is TransactionOutcome.Conflict -> return CancelOutcome.Cancelled
+                is TransactionOutcome.Applied -> return null
+                is TransactionOutcome.Conflict -> return null
                 is TransactionOutcome.Unknown -> cause = outcome.cause
                 is TransactionOutcome.Unavailable -> cause = outcome.cause
                 is TransactionOutcome.Rejected -> return CancelOutcome.Unsettled(outcome.cause)
@@ -156,5 +170,6 @@
         // Twice the wait of the change feed, so that one late answer does not make the cached states stale.
         const val STALE_MILLIS = 2_000L
         val CANCEL_MARK = byteArrayOf(1)
+        val tooManyCancellations = CancelOutcome.Unsettled("too many cancellations of jobs that are not stored")
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EndedJobCleaner.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EndedJobCleaner.kt
@@ -22,9 +22,10 @@
     private val jobsWithFullRow = LinkedHashSet<String>()
     private val endedAtUnixMillis = LinkedHashMap<String, Long>()
     private val expiredStateKeys = ArrayDeque<String>()
-    private val refusals = LinkedHashMap<String, Refusal>()
+    private val refusals = LinkedHashMap<String, SeenRow>()
+    private val cancellations = LinkedHashMap<String, SeenRow>()
 
-    private class Refusal(
+    private class SeenRow(
         val version: Long,
         val seenAtMillis: Long,
     )
@@ -32,6 +33,9 @@
     /** Called with the id of each job whose row was removed. */
     var onJobRemoved: (jobId: String) -> Unit = {}
 
+    /** Called with the id of each job whose cancellation was removed. */
+    var onCancellationRemoved: (jobId: String) -> Unit = {}
+
     /** Records that [jobId] ended at [unixMillis] and that its end is stored. */
     fun recordEnd(
         jobId: String,
@@ -47,7 +51,16 @@
         version: Long,
     ) {
         refusals.remove(jobId)
-        refusals[jobId] = Refusal(version, clock.monotonicMillis())
+        refusals[jobId] = SeenRow(version, clock.monotonicMillis())
+    }
+
+    /** Records that [jobId] is cancelled by a row, as of [version], and that no such job is stored or it has ended. */
+    fun recordUnusedCancellation(
+        jobId: String,
+        version: Long,
+    ) {
+        cancellations.remove(jobId)
+        cancellations[jobId] = SeenRow(version, clock.monotonicMillis())
     }
 
     /** Removes and returns up to [maxCount] keys of state rows that callers may no longer query. */
@@ -60,7 +73,8 @@
             delay(CLEANUP_INTERVAL_MILLIS)
             truncateEndedRows()
             removeExpiredRows()
-            removeExpiredRefusals()
+            removeExpired(refusals, StoredTables::jobKey)
+            removeExpired(cancellations, StoredTables::cancelKey, onCancellationRemoved)
         }
     }
 
@@ -95,31 +109,33 @@
         }
     }
 
-    // Refusals are kept as long as ended jobs: no attempt to store the job stays in flight for that long. Removal is
-    // conditional on the version, since the caller may have submitted the job again meanwhile.
-    private suspend fun removeExpiredRefusals() {
+    // Refusals and cancellations are kept as long as ended jobs: no attempt to store the job stays in flight for that
+    // long. Removal is conditional on the version, since the caller may have submitted or cancelled the job again.
+    private suspend fun removeExpired(
+        rows: LinkedHashMap<String, SeenRow>,
+        keyOf: (jobId: String) -> String,
+        onRemoved: (jobId: String) -> Unit = {},
+    ) {
         val oldest = clock.monotonicMillis() - RETENTION_MILLIS
-        val old = refusals.entries.takeWhile { it.value.seenAtMillis < oldest }.map { it.key to it.value }
+        val old = rows.entries.takeWhile { it.value.seenAtMillis < oldest }.map { it.key to it.value }
         old.groupBy { StoredTables.work(it.first) }.forEach { (place, all) ->
             val some = all.take(MAX_JOBS)
-            val conditions =
-                some.map { (id, refusal) ->
-                    RowExpectation(place, StoredTables.jobKey(id), refusal.version)
+            val conditions = some.map { (id, row) -> RowExpectation(place, keyOf(id), row.version) }
+            val changes = some.map { (id, _) -> RowChange(place, keyOf(id), null) }
+            val gone =
+                when (val outcome = store.transact(conditions, changes, TIMEOUT_MILLIS)) {
+                    is TransactionOutcome.Applied -> some
+                    is TransactionOutcome.Conflict -> {
+                        val versionByKey = outcome.rows.associate { it.key to it.version }
+                        some.filter { (id, row) -> versionByKey[keyOf(id)] != row.version }
+                    }
+
+                    else -> emptyList()
                 }
-            val changes = some.map { (id, _) -> RowChange(place, StoredTables.jobKey(id), null) }
-            when (val outcome = store.transact(conditions, changes, TIMEOUT_MILLIS)) {
-                is TransactionOutcome.Applied -> refusals -= some.map { it.first }.toSet()
-                is TransactionOutcome.Conflict -> {
-                    val versionByKey = outcome.rows.associate { it.key to it.version }
-                    refusals -=
-                        some
-                            .filter { (id, refusal) ->
-                                versionByKey[StoredTables.jobKey(id)] != refusal.version
-                            }.map { it.first }
-                            .toSet()
-                }
-
-                else -> Unit
+            // What was seen again meanwhile is kept.
+            gone.filter { (id, row) -> rows[id] === row }.forEach { (id, _) ->
+                rows -= id
+                onRemoved(id)
             }
         }
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -86,12 +86,14 @@
                             workVersion,
                             log,
                             cleaner::recordRefusal,
+                            cleaner::recordUnusedCancellation,
                             ::wake,
                         ).run()
                     }
                     launch { WorkerFollower(ports.workerList, engine, clock, ::wake).run() }
                     launch { decideLoop(this) }
                     cleaner.onJobRemoved = engine.state::forgetEnd
+                    cleaner.onCancellationRemoved = engine.state::forgetEarlyCancellation
                     launch { cleaner.run() }
                     broadcast?.let { launch { it.sendHeartbeats(engine.state.epoch) } }
                     ports.waves?.let { waves ->
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredStateLoader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredStateLoader.kt
@@ -57,7 +57,7 @@
             val keys = rows.map { it.key }
             if (isNeeded) progressRows.recordStored(jobId, keys) else progressRows.recordObsolete(keys)
         }
-        work.rows.mapNotNull { StoredTables.cancelledId(it.key) }.forEach { engine.cancel(it, clock.monotonicMillis()) }
+        work.rows.forEachInBatches { loadCancellation(it, engine, cleaner) }
         roster.rows.forEachInBatches { loadWorker(it, engine) }
         val counts = "${work.rows.size} job rows, ${progress.rows.size + pages.rows.size} progress rows, ${roster.rows.size} worker rows"
         val durationMillis = clock.monotonicMillis() - engine.state.startedAtMillis
@@ -112,6 +112,15 @@
         engine.inherit(jobId, record, progress, now - ageMillis, now)
     }
 
+    private fun loadCancellation(
+        row: StoredRow,
+        engine: JobEngine,
+        cleaner: EndedJobCleaner,
+    ) {
+        val jobId = StoredTables.cancelledId(row.key) ?: return
+        if (!engine.cancel(jobId, clock.monotonicMillis())) cleaner.recordUnusedCancellation(jobId, row.version)
+    }
+
     private fun loadWorker(
         row: StoredRow,
         engine: JobEngine,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkFollower.kt
@@ -17,6 +17,7 @@
     private val readVersion: Long,
     log: EventLog,
     private val onRefusal: (jobId: String, version: Long) -> Unit = { _, _ -> },
+    private val onUnusedCancellation: (jobId: String, version: Long) -> Unit = { _, _ -> },
     private val onChange: () -> Unit,
 ) {
     private val follower = TableFollower(store, StoredTables.work, FEED_WAIT_MILLIS, pauseMillis = 0, log)
@@ -61,7 +62,7 @@
         val value = row.value ?: return
         val cancelled = StoredTables.cancelledId(row.key)
         if (cancelled != null) {
-            engine.cancel(cancelled, now)
+            if (!engine.cancel(cancelled, now)) onUnusedCancellation(cancelled, row.version)
             return
         }
         if (StoredTables.isEndedTombstone(value)) return
