Keep transactions of the owner within 100 entries

The condition counts as an entry, so 99 rows beside the row of the owner were too many; the store would have rejected such a write and the owner divided it. Stored occurrences beyond those of the specification are ignored, and a line is wrapped for the linter.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -158,6 +158,7 @@
             .mapNotNull { it.toIntOrNull() }
             .filter { it in 0 until job.specification.occurrenceCount }
             .forEach { job.doneOccurrences.set(it) }
+        job.doneOccurrences.clear(job.specification.occurrenceCount, Int.MAX_VALUE)
     }
 
     /** Opens occurrence [number] of [job] unless it was opened before. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OccurrenceOpener.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OccurrenceOpener.kt
@@ -115,16 +115,10 @@
         val number = job.nextUnopened()
         if (job.state.isFinal || number == null) return
         job.nextOccurrence = number
-        val isDue = !job.specification.isScheduled || job.specification.dueUnixMillis(number) <= unixMillis
-        job.nextDueUnixMillis =
-            if (job.specification.isScheduled) {
-                job.specification.dueUnixMillis(
-                    number,
-                )
-            } else {
-                job.record.acceptedUnixMillis
-            }
-        if (isDue) due += job else byDueTime += job
+        val dueUnixMillis = job.specification.dueUnixMillis(number)
+        val isScheduled = job.specification.isScheduled
+        job.nextDueUnixMillis = if (isScheduled) dueUnixMillis else job.record.acceptedUnixMillis
+        if (!isScheduled || dueUnixMillis <= unixMillis) due += job else byDueTime += job
     }
 
     private companion object {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -224,7 +224,9 @@
         const val MAX_WORKERS = 40
         const val MAX_JOBS_WITH_WORKERS = 20
         const val MAX_REMOVALS = 15
-        const val MAX_ROWS = 99
+
+        // The condition and the row of the owner are entries as well.
+        const val MAX_ROWS = 95
 
         // A transaction takes 1 MB, of which Base64 leaves three quarters.
         const val MAX_BYTES = 650_000
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredStateLoader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/StoredStateLoader.kt
@@ -59,7 +59,8 @@
         }
         work.rows.forEachInBatches { loadCancellation(it, engine, cleaner) }
         roster.rows.forEachInBatches { loadWorker(it, engine) }
-        val counts = "${work.rows.size} job rows, ${progress.rows.size + pages.rows.size} progress rows, ${roster.rows.size} worker rows"
+        val progressCount = progress.rows.size + pages.rows.size
+        val counts = "${work.rows.size} job rows, $progressCount progress rows, ${roster.rows.size} worker rows"
         val durationMillis = clock.monotonicMillis() - engine.state.startedAtMillis
         log.write(Event.JOBS_INHERITED, "$counts; completed $durationMillis ms after the takeover")
         return work.version
