Tell what the start of a lasting task waits for

What was missing: no line told, while it waited, whether a new owner waited for runs of earlier owners or the task found no room. 7005 is written when the wait is over, per queue, and 7020 gave the whole wait without its parts.

What is told now: 7029 START_WAITS once a ready lasting task has waited for a second and when the reason changes, with the reason and, for EARLIER_RUNS, the workers that have not reported and the time until all leases expire; at most one line a second for a job and five for all. 7020 tells the part of the wait that was for earlier runs. The gauge verbenagauge_tasks_waiting_for_earlier_runs counts ready tasks of the jobs that the last pass visited. No decision changes.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -162,6 +162,12 @@
         metrics.gauge("verbenagauge_open_tasks", "Tasks that the owner holds, of jobs that are due") {
             ownership.openTasks().toDouble()
         }
+        metrics.gauge(
+            "verbenagauge_tasks_waiting_for_earlier_runs",
+            "Ready tasks that wait until the owner knows the runs of earlier owners",
+        ) {
+            ownership.tasksWaitingForEarlierRuns().toDouble()
+        }
         metrics.gauge(
             "verbenagauge_jobs_with_waiting_occurrences",
             "Jobs of which a part is due but not held by the owner, since it holds too many tasks",
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -6,7 +6,7 @@
 internal class EarlierRuns(
     private val state: EngineState,
 ) {
-    private val knownQueues = HashSet<Pair<String, String>>()
+    private val knownAtMillisByQueue = HashMap<Pair<String, String>, Long>()
 
     /**
      * Whether all runs of earlier owners for [queue] are known. This holds once every worker that may hold one has
@@ -20,10 +20,9 @@
         queue: QueueConfiguration,
         now: Long,
     ): Boolean {
-        // A queue that was moved may have runs on the workers of either service.
-        val key = queue.name to queue.serviceName
-        if (key in knownQueues) return true
-        val unreported = state.workers.values.filter { mayHold(it, queue) && !it.hasReportedAll }
+        val key = key(queue)
+        if (key in knownAtMillisByQueue) return true
+        val unreported = unreported(queue)
         // The leases of workers that answer are renewed and do not expire, so only their listings tell which runs
         // exist.
         val areKnown =
@@ -32,10 +31,52 @@
             } else {
                 state.areWorkersKnown && unreported.isEmpty()
             }
-        if (areKnown && knownQueues.add(key)) note(queue, unreported, now)
+        if (areKnown) {
+            knownAtMillisByQueue[key] = now
+            note(queue, unreported, now)
+        }
         return areKnown
     }
 
+    /** Returns how long a task of [job] that is ready since [readySinceMillis] has waited for runs of earlier owners. */
+    fun waitMillis(
+        job: JobEntry,
+        readySinceMillis: Long,
+    ): Long {
+        if (!job.mayHaveEarlierRuns) return 0
+        val knownAtMillis = knownAtMillisByQueue[key(job.queue)] ?: return 0
+        return maxOf(0, knownAtMillis - readySinceMillis)
+    }
+
+    /** Describes for the log what the jobs of [queue] wait for at [now]. */
+    fun describeWait(
+        queue: QueueConfiguration,
+        now: Long,
+    ): String {
+        val unreported = unreported(queue)
+        val shown = unreported.take(MAX_WORKERS_SHOWN).joinToString { describe(it, now) }.ifEmpty { "none" }
+        val others = unreported.size - MAX_WORKERS_SHOWN
+        val more = if (others > 0) " and $others more" else ""
+        val list = if (state.areWorkersKnown) "" else ", workers are not all known"
+        val leftMillis = maxOf(0, state.startedAtMillis + leaseBoundMillis - now)
+        return "not reported $shown$more$list, all leases expire in $leftMillis ms"
+    }
+
+    private fun describe(
+        worker: WorkerEntry,
+        now: Long,
+    ): String {
+        if (worker.hasAnswered) return "${worker.id} (answered in part)"
+        val failing = worker.firstFailureMillis?.let { ", fails since ${now - it} ms" }.orEmpty()
+        return "${worker.id} (no answer since ${now - worker.seenAtMillis} ms$failing)"
+    }
+
+    // A queue that was moved may have runs on the workers of either service.
+    private fun key(queue: QueueConfiguration) = queue.name to queue.serviceName
+
+    private fun unreported(queue: QueueConfiguration) =
+        state.workers.values.filter { mayHold(it, queue) && !it.hasReportedAll }
+
     private fun hasLiveLease(
         worker: WorkerEntry,
         now: Long,
@@ -60,11 +101,13 @@
     fun haveLeasesExpiredSince(
         sinceMillis: Long,
         now: Long,
-    ): Boolean {
-        val leaseMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK_RATE).toLong()
-        val boundMillis = state.limits.ownerLeaseMillis + leaseMillis + state.limits.clockMarginMillis
-        return now - sinceMillis > boundMillis
-    }
+    ): Boolean = now - sinceMillis > leaseBoundMillis
+
+    private val leaseBoundMillis: Long
+        get() {
+            val leaseMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK_RATE).toLong()
+            return state.limits.ownerLeaseMillis + leaseMillis + state.limits.clockMarginMillis
+        }
 
     private fun note(
         queue: QueueConfiguration,
@@ -81,4 +124,9 @@
             "epoch ${state.epoch}: ${reported.size} workers answered, unlisted $unlisted, incomplete $missing, after $tookMillis ms",
         )
     }
+
+    private companion object {
+        // Bounds the length of a log line.
+        const val MAX_WORKERS_SHOWN = 5
+    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -70,6 +70,7 @@
     ZONE_UNKNOWN,
     ALL_ZONES_EVACUATED,
     RUN_RESCUED,
+    START_WAITS,
     RUNS_KNOWN,
     WORKER_HEARD,
     WORKER_AVOIDED,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -49,8 +49,9 @@
     private val doubts = SuspectJobs(state)
     private val listings = ListingReader(state, registry, runs, health, doubts)
     private val earlierRuns = EarlierRuns(state)
+    private val waits = StartWaits(state)
     private val scheduler =
-        Scheduler(state, runs, ready, placement, copies ?: copyPolicy(state), earlierRuns, doubts)
+        Scheduler(state, runs, ready, placement, copies ?: copyPolicy(state), earlierRuns, doubts, waits)
     private val stuckGuard = StuckGuard(state, runs, health)
     private val rescue = StragglerRescue(state, runs).takeIf { limits.load.stragglerRescue }
     private val paceGuard = PaceGuard(state)
@@ -494,6 +495,9 @@
     /** Number of tasks that the engine holds, of jobs that are due. */
     val openTasks: Long get() = registry.openTasks
 
+    /** Number of ready tasks that wait until the runs of earlier owners are known. */
+    val tasksWaitingForEarlierRuns: Long get() = waits.tasksWaitingForEarlierRuns
+
     /** Number of jobs of which a part is due but not held yet, since the engine holds too many tasks. */
     val jobsWithWaitingOccurrences: Int get() = registry.jobsWithWaitingOccurrences
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -17,12 +17,14 @@
     private val copies: CopyPolicy,
     private val earlierRuns: EarlierRuns,
     private val doubts: SuspectJobs,
+    private val waits: StartWaits,
 ) {
     /** Starts the ready tasks that fit on workers at [now]. */
     fun schedule(now: Long) {
         val configuration = state.configuration ?: return
         state.missingRoomByService.clear()
         state.unsettledRoomByService.clear()
+        waits.beginPass()
         ready.services.forEach { ServicePass(it, configuration, now).run() }
     }
 
@@ -111,6 +113,7 @@
                 }
                 if (job.retry != null && !mayRetry(job)) {
                     deferredRetries += rank
+                    recordWait(job, StartWaitReason.OTHER_TASK) { "one task of the job is retried at a time" }
                     continue
                 }
                 if (!start(job, isSurplus = rank.surplusAccount != null) && ++blockedJobs >= MAX_BLOCKED_JOBS) break
@@ -123,11 +126,24 @@
         // Its tasks may start in a moment, so the pool has to keep its machines and grow for them now.
         private fun recordWaiting(job: JobEntry) {
             val limit = configuration.teams[job.record.teamName]?.limit
+            waits.countEarlierRuns(job)
             job.open.values.flatMap { it.steps }.filter { it.readyCount > 0 }.forEach { step ->
+                waits.record(step, StartWaitReason.EARLIER_RUNS, now) { earlierRuns.describeWait(job.queue, now) }
                 recordNeed(state.unsettledRoomByService, step, step.readyCount, limit)
             }
         }
 
+        private fun recordWait(
+            job: JobEntry,
+            reason: StartWaitReason,
+            detail: () -> String,
+        ) {
+            if (!job.isLasting) return
+            job.open.values.flatMap { it.steps }.filter { it.readyCount > 0 }.forEach {
+                waits.record(it, reason, now, detail)
+            }
+        }
+
         private fun mayRetry(job: JobEntry): Boolean {
             if (job.retry?.phase != TaskPhase.READY) return false
             mayRetry = mayRetry && doubts.hasRetryCapacity(serviceName, workers)
@@ -203,18 +219,46 @@
             private set
 
         fun run() {
-            val allowed = if (job.queue.advice == null) workers else advisedWorkers() ?: return
+            val allowed = if (job.queue.advice == null) workers else advisedWorkers() ?: return recordAdviceWait()
             if (!freeCapacity.mayFit(specification)) {
                 isBlockedByCapacity = true
                 recordMissing(step.readyCount)
+                recordWait(allowed)
                 return
             }
             val ready = step.tasks.filter { it.phase == TaskPhase.READY && doubts.mayStart(it) }
             val missing = if (specification.isGang) startGang(ready, allowed) else startEach(ready, allowed)
-            if (missing == 0) return
+            if (missing == 0) return recordGangWait()
             recordMissing(missing)
             isBlockedByCapacity = lacksCapacity && allowed.none { it.hasRoomFor(specification) }
             if (isBlockedByCapacity) freeCapacity.refresh()
+            recordWait(allowed)
+        }
+
+        private fun recordAdviceWait() {
+            waits.record(step, StartWaitReason.ADVICE, now) { "asked for ${workers.size} workers" }
+        }
+
+        private fun recordGangWait() {
+            if (!specification.isGang || step.readyCount == 0) return
+            waits.record(step, StartWaitReason.OTHER_TASK, now) { "${step.readyCount} of ${step.tasks.size} ready" }
+        }
+
+        private fun recordWait(allowed: List<WorkerEntry>) {
+            val reason =
+                when {
+                    !lacksCapacity -> StartWaitReason.LIMIT
+                    isBlockedByCapacity -> StartWaitReason.CAPACITY
+                    else -> StartWaitReason.NO_ELIGIBLE_WORKER
+                }
+            waits.record(step, reason, now) {
+                val known = state.workersOf(job.queue.serviceName).size
+                "$known workers, ${allowed.size} usable, ${allowed.count {
+                    it.hasRoomFor(
+                        specification,
+                    )
+                }} with room"
+            }
         }
 
         // A task that avoids the workers on which it failed does not block the others. Returns the number of tasks that
@@ -341,10 +385,15 @@
                 NoteKind.RUN_ORDERED,
                 task.id.toString(),
                 "run ${run.runId} on ${worker.id}, free ${worker.free.cpuMillis}m, " +
-                    "waited ${now - task.readySinceMillis} ms, ${task.lastRunSummary}",
+                    "waited ${now - task.readySinceMillis} ms${earlierRunsPart(task)}, ${task.lastRunSummary}",
             )
         }
 
+        private fun earlierRunsPart(task: TaskEntry): String {
+            val waitMillis = earlierRuns.waitMillis(job, task.readySinceMillis)
+            return if (waitMillis > 0) ", of which $waitMillis ms for earlier runs" else ""
+        }
+
         // Returns the workers that the advisor allows, or null while its answer is pending.
         private fun advisedWorkers(): List<WorkerEntry>? {
             val tickets = step.tickets
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -20,6 +20,7 @@
         NoteKind.ZONE_UNKNOWN -> Event.ZONE_UNKNOWN
         NoteKind.ALL_ZONES_EVACUATED -> Event.ALL_ZONES_EVACUATED
         NoteKind.RUN_RESCUED -> Event.RUN_RESCUED
+        NoteKind.START_WAITS -> Event.START_WAITS
         NoteKind.RUNS_KNOWN -> Event.RUNS_KNOWN
         NoteKind.WORKER_HEARD -> Event.WORKER_HEARD
         NoteKind.WORKER_AVOIDED -> Event.WORKER_AVOIDED
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -66,6 +66,9 @@
     /** Number of tasks that the engine holds; 0 while this entry is not the owner. */
     fun openTasks(): Long = engine?.openTasks ?: 0
 
+    /** Number of ready tasks that wait for runs of earlier owners; 0 while this entry is not the owner. */
+    fun tasksWaitingForEarlierRuns(): Long = engine?.tasksWaitingForEarlierRuns ?: 0
+
     /** Number of jobs of which a part is due but not held; 0 while this entry is not the owner. */
     fun jobsWithWaitingOccurrences(): Int = engine?.jobsWithWaitingOccurrences ?: 0
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -76,6 +76,7 @@
     RUN_GIVEN_UP(7026, Level.INFO),
     RUN_WITHHELD(7027, Level.INFO),
     RUN_RESCUED(7028, Level.INFO),
+    START_WAITS(7029, Level.INFO),
     WORKER_AVOIDED(7030, Level.WARN),
     WORKER_HEARD(7033, Level.INFO),
     WORKER_GONE(7031, Level.INFO),
