--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverOracle.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/TakeoverOracle.kt
@@ -367,6 +367,9 @@
         report(Breach.COUNT, waiting.keys.first(), "waits with ${waiting.keys}, but $entryId says that $count wait")
     }
 
+    /** Returns the worker on which a run of the task [id] is active; null if there is none. */
+    fun workerOf(id: TaskId): IncarnationId? = running.firstOrNull { it.taskId == id }?.worker
+
     /** Returns the tasks of accepted jobs that are not done yet, except those of cancelled and failed jobs. */
     fun unfinished(): List<TaskId> =
         jobs
