Store until when the leases on silent workers last

Cause: what an owner has learnt about the past dies with its term. Inherited tasks wait until every worker with a stored row has listed its runs, or until all leases have expired, which was counted from the takeover: 7,922 ms for each owner anew, although the owners before it had granted the silent worker nothing for seconds. A series of planned stops prolonged the wait without end, and workers that had left kept their rows, as no term was long enough to drop them.

The mend: the row of a worker that has failed to answer for 600 ms stores when its leases end, on the store's steady clock, which all owners share. The time is that of a write that was sent after the last lease was granted, plus what is left of the leases on the slowest clock, so it needs neither the time of day nor the clock of a process that may have been suspended. While it is stored, nothing is granted or ordered there; a worker that answers is granted leases only after the removal is stored, so no later owner finds an end that precedes a lease. If a start order got no answer, the end counts only while the platform does not list the worker, as within a term. A worker that has not answered a new owner gets the end of all earlier leases: counted from when the earlier owner's row was last seen to change, not from the takeover, and without the owner's own lease if it was released, since orders end before the release.

Mixed fleets: earlier releases ignore the new fields and drop them from the owner's row. leaseEndsSinceEpoch names the epoch since which all owners remove ends before they grant leases; ends of earlier epochs do not count. Without them, or without the store's clock, the wait is as before.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -22,7 +22,7 @@
     ): Boolean {
         val key = key(queue)
         if (key in knownAtMillisByQueue) return true
-        val unreported = unreported(queue)
+        val unreported = unreported(queue, now)
         // The leases of workers that answer are renewed and do not expire, so only their listings tell which runs
         // exist.
         val areKnown =
@@ -53,12 +53,17 @@
         queue: QueueConfiguration,
         now: Long,
     ): String {
-        val unreported = unreported(queue)
+        val unreported = unreported(queue, now)
         val shown = unreported.take(MAX_WORKERS_SHOWN).joinToString { describe(it, now) }.ifEmpty { "none" }
         val others = unreported.size - MAX_WORKERS_SHOWN
         val more = if (others > 0) " and $others more" else ""
         val list = if (state.areWorkersKnown) "" else ", workers are not all known"
-        val leftMillis = maxOf(0, state.startedAtMillis + leaseBoundMillis - now)
+        val boundMillis = maxOf(0, state.startedAtMillis + state.limits.takeoverLeaseMillis - now)
+        val leftMillis =
+            minOf(
+                boundMillis,
+                state.storeClock.leftMillis(state.earlierLeasesEndMillis, now) ?: boundMillis,
+            )
         return "not reported $shown$more$list, all leases expire in $leftMillis ms"
     }
 
@@ -68,14 +73,22 @@
     ): String {
         if (worker.hasAnswered) return "${worker.id} (answered in part)"
         val failing = worker.firstFailureMillis?.let { ", fails since ${now - it} ms" }.orEmpty()
-        return "${worker.id} (no answer since ${now - worker.seenAtMillis} ms$failing)"
+        val leaseEnd = state.roster.leaseEndOf(worker.id)?.storeMillis
+        val left =
+            state.storeClock
+                .leftMillis(leaseEnd, now)
+                ?.let { ", leases end in $it ms" }
+                .orEmpty()
+        return "${worker.id} (no answer since ${now - worker.seenAtMillis} ms$failing$left)"
     }
 
     // A queue that was moved may have runs on the workers of either service.
     private fun key(queue: QueueConfiguration) = queue.name to queue.serviceName
 
-    private fun unreported(queue: QueueConfiguration) =
-        state.workers.values.filter { mayHold(it, queue) && !it.hasReportedAll }
+    private fun unreported(
+        queue: QueueConfiguration,
+        now: Long,
+    ) = state.workers.values.filter { mayHold(it, queue) && !it.hasReportedAll && !haveLeasesEnded(it, now) }
 
     private fun hasLiveLease(
         worker: WorkerEntry,
@@ -91,8 +104,21 @@
         return worker.listed.serviceName == queue.serviceName || queue.name in state.roster.queuesOf(worker.id)
     }
 
+    /** Whether the leases on the silent [worker] have ended according to the roster. */
+    fun haveLeasesEnded(
+        worker: WorkerEntry,
+        now: Long,
+    ): Boolean {
+        val leaseEnd = state.roster.leaseEndOf(worker.id) ?: return false
+        val mayRestart = worker.isListed || !state.isWorkerListKnown
+        if (worker.hasAnswered || leaseEnd.hasOpenOrders && mayRestart) return false
+        return state.storeClock.hasPassed(leaseEnd.storeMillis, now)
+    }
+
     /** Whether every lease that an earlier owner may have granted has expired. */
-    fun haveLeasesExpired(now: Long): Boolean = haveLeasesExpiredSince(state.startedAtMillis, now)
+    fun haveLeasesExpired(now: Long): Boolean =
+        state.storeClock.hasPassed(state.earlierLeasesEndMillis, now) ||
+            haveLeasesExpiredSince(state.startedAtMillis, now)
 
     /**
      * Whether every lease that was granted up to [sinceMillis], or within one owner lease after it, has expired even on
@@ -101,13 +127,7 @@
     fun haveLeasesExpiredSince(
         sinceMillis: Long,
         now: Long,
-    ): Boolean = now - sinceMillis > leaseBoundMillis
-
-    private val leaseBoundMillis: Long
-        get() {
-            val leaseMillis = (state.limits.longestLeaseMillis / SLOWEST_CLOCK_RATE).toLong()
-            return state.limits.ownerLeaseMillis + leaseMillis + state.limits.clockMarginMillis
-        }
+    ): Boolean = now - sinceMillis > state.limits.takeoverLeaseMillis
 
     private fun note(
         queue: QueueConfiguration,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineLimits.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineLimits.kt
@@ -30,5 +30,13 @@
     val load: LoadSettings = LoadSettings(),
 )
 
+/** Time after which a lease that any owner granted has expired, even on the slowest worker clock. */
+internal val EngineLimits.leaseExpiryMillis: Long
+    get() = (longestLeaseMillis / SLOWEST_CLOCK_RATE).toLong() + clockMarginMillis
+
+/** Time after the last write of an owner after which every lease that it may have granted has expired. */
+internal val EngineLimits.takeoverLeaseMillis: Long
+    get() = ownerLeaseMillis + leaseExpiryMillis
+
 /** Lowest rate of a worker's clock relative to true time; worker clocks may run up to 2% slow. */
 internal const val SLOWEST_CLOCK_RATE = 0.98
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineState.kt
@@ -90,6 +90,14 @@
 
     var configuration: JobsConfiguration? = null
 
+    val storeClock = StoreClock()
+
+    /** Epoch since which every owner has removed the recorded end of leases before it granted any. */
+    var leaseEndsSinceEpoch = epoch
+
+    /** Time on the store's clock after which no lease of an earlier epoch is valid; null when not known. */
+    var earlierLeasesEndMillis: Long? = null
+
     /** Whether the platform's list of workers was read in this epoch. */
     var isWorkerListKnown = false
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -59,6 +59,7 @@
     private val evacuation = Evacuation(state, runs)
     private val coldWorkers = ColdWorkerLimiter(state, coldRoom)
     private val accountReport = AccountSurplusReport(state, accounts)
+    private val silentWorkers = SilentWorkers(state)
 
     /** Whether new runs may be ordered; false while it is uncertain that the owner still holds its lease. */
     var mayStart = true
@@ -94,6 +95,9 @@
         coldWorkers.onZonesReturned(returnedIds, now)
     }
 
+    /** Whether [workerId] may be sent orders that grant leases; a recorded end of its leases is removed first. */
+    fun mayGrant(workerId: String): Boolean = state.roster.mayGrant(workerId)
+
     /** Whether [workerId] must not get new runs because its availability zone is evacuated. */
     fun isEvacuated(workerId: String): Boolean = state.workers[workerId]?.let(state.evacuatedZones::includes) ?: false
 
@@ -214,7 +218,9 @@
         record: RosterRecord,
         now: Long,
     ) {
-        state.roster.restore(workerId, record)
+        // An owner of a release without such records may have granted leases since.
+        val leaseEnd = record.leaseEnd?.takeIf { it.epoch >= state.leaseEndsSinceEpoch }
+        state.roster.restore(workerId, record.copy(leaseEnd = leaseEnd))
         val worker = WorkerEntry(restoredWorker(workerId, record), now)
         worker.isListed = false
         state.add(worker)
@@ -302,7 +308,8 @@
         if (!worker.needsRenewal()) return null
         // After a call without a readable listing nothing is granted or acknowledged until the next readable one, so
         // that the leases of the runs there expire if none arrives.
-        val canTrust = isProven && worker.hasAnswered && worker.firstFailureMillis == null
+        val canTrust =
+            isProven && worker.hasAnswered && worker.firstFailureMillis == null && state.roster.mayGrant(workerId)
         val lease = (worker.estimatedClockMillis(now) + limits.leaseMillis).takeIf { canTrust }
         if (lease != null) worker.leaseUntilWorkerMillis = maxOf(worker.leaseUntilWorkerMillis, lease)
         val acknowledged = if (canTrust) worker.storedEnd else 0
@@ -333,6 +340,7 @@
         when (outcome) {
             is ListingOutcome.Listed -> {
                 listings.read(worker, outcome.listing, sentAtMillis, now)
+                silentWorkers.recordAnswer(worker)
                 dropEarlierIncarnations(worker, sentAtMillis, now)
             }
 
@@ -431,6 +439,7 @@
         paceGuard.check(now)
         evacuation.check(now)
         coldWorkers.check(now)
+        silentWorkers.check(now)
         gangGuard.check(earlierRuns, now)
         accountReport.logIfDue(now)
         if (mayStart) {
@@ -476,7 +485,9 @@
         worker: WorkerEntry,
         now: Long,
     ) {
-        if (worker.isListed || !earlierRuns.haveLeasesExpiredSince(worker.unlistedSinceMillis, now)) return
+        val haveLeasesEnded =
+            earlierRuns.haveLeasesEnded(worker, now) || earlierRuns.haveLeasesExpiredSince(worker.unlistedSinceMillis, now)
+        if (worker.isListed || !haveLeasesEnded) return
         workers.drop(worker, "the platform does not list it, it has never answered, and every lease has expired", now)
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -80,6 +80,7 @@
     private fun availableWorkers(serviceName: String) =
         state.workersOf(serviceName).filter {
             it.isSchedulable &&
+                state.roster.mayGrant(it.id) &&
                 !it.hasRunOfUnknownSize &&
                 !state.evacuatedZones.includes(it)
         }
--- /dev/null
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
@@ -0,0 +1,52 @@
+package org.verbenagauge.entry.jobs.engine
+
+import org.verbenagauge.entry.jobs.records.LeaseEndRecord
+
+/**
+ * Records in the roster until when the leases on silent workers last, so that the next owner does not wait for them
+ * anew. A silent worker is granted nothing until its record is removed.
+ */
+internal class SilentWorkers(
+    private val state: EngineState,
+) {
+    /** Records the workers that have been silent for a while, and removes the records of those that answer again. */
+    fun check(now: Long) {
+        val reading = state.storeClock.reading ?: return
+        state.workers.values.forEach { worker ->
+            val silentSince = worker.firstFailureMillis
+            when {
+                silentSince == null -> recordAnswer(worker)
+                now - silentSince < MIN_SILENCE_MILLIS || reading.sentAtMillis < silentSince -> Unit
+                state.roster.leaseEndOf(worker.id) == null ->
+                    leaseEnd(worker, reading)?.let { state.roster.recordLeaseEnd(worker.id, it) }
+            }
+        }
+    }
+
+    /** Requests the removal of the record of [worker] if it has answered. */
+    fun recordAnswer(worker: WorkerEntry) {
+        if (worker.hasAnswered && worker.firstFailureMillis == null) state.roster.clearLeaseEnd(worker.id)
+    }
+
+    // The call of [reading] was sent after the last lease was granted, so the store's time is ahead of that moment.
+    private fun leaseEnd(
+        worker: WorkerEntry,
+        reading: StoreReading,
+    ): LeaseEndRecord? {
+        if (!worker.hasLeases) return state.earlierLeasesEndMillis?.let { LeaseEndRecord(state.epoch, it) }
+        // The clock of an incarnation that has not answered is not known.
+        val leftMillis =
+            if (worker.hasAnswered) {
+                worker.leasesLeftMillis(reading.sentAtMillis, state.limits)
+            } else {
+                state.limits.takeoverLeaseMillis
+            }
+        val hasOpenOrders = worker.runs.values.any { it.isUncertain || it.phase == RunPhase.STARTING }
+        return LeaseEndRecord(state.epoch, reading.storeMillis + leftMillis, hasOpenOrders)
+    }
+
+    private companion object {
+        // Several failed calls; a lost connection or a short pause of a worker is over by then.
+        const val MIN_SILENCE_MILLIS = 600L
+    }
+}
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -102,6 +102,19 @@
         return slowest > leaseUntilWorkerMillis + limits.clockMarginMillis
     }
 
+    /** Whether it has answered under this epoch and may have been granted leases since. */
+    val hasLeases: Boolean get() = leaseUntilWorkerMillis > 0
+
+    /** Time from [at] on after which every lease sent to it has expired, even on the slowest clock allowed. */
+    fun leasesLeftMillis(
+        at: Long,
+        limits: EngineLimits,
+    ): Long {
+        val slowest = clockMillis + ((at - clockReadAtMillis) * SLOWEST_CLOCK_RATE).toLong()
+        val leftMillis = maxOf(0, leaseUntilWorkerMillis - slowest)
+        return (leftMillis / SLOWEST_CLOCK_RATE).toLong() + limits.clockMarginMillis
+    }
+
     private var unknownSizeCount = 0
 
     /** Number of runs of lasting tasks. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
 import org.verbenagauge.entry.jobs.ports.ListedWorker
+import org.verbenagauge.entry.jobs.records.LeaseEndRecord
 import org.verbenagauge.entry.jobs.records.RosterRecord
 
 /**
@@ -23,6 +24,7 @@
     private val inFlight = HashMap<String, RosterRecord>()
     private val stored = HashMap<String, RosterRecord>()
     private val restored = HashMap<String, RosterRecord>()
+    private val idsOfRejectedRows = HashSet<String>()
 
     /** Whether changes wait to be stored. */
     val hasChanges: Boolean get() = changes.isNotEmpty()
@@ -92,8 +94,36 @@
         bornUnixMillis = worker.listed.bornUnixMillis,
         machineId = worker.listed.machineId,
         queueNames = queueNames,
+        leaseEnd = leaseEndOf(worker.id),
     )
 
+    /** Returns the end of the leases on the silent worker [workerId], as stored or about to be; null if it has none. */
+    fun leaseEndOf(workerId: String): LeaseEndRecord? = pendingOrStored(workerId)?.leaseEnd
+
+    /**
+     * Whether the worker [workerId] may be granted leases and runs: the next owner must not find an end of its leases
+     * that precedes them.
+     */
+    fun mayGrant(workerId: String): Boolean =
+        listOfNotNull(stored[workerId], inFlight[workerId], changes[workerId]).all { it.leaseEnd == null }
+
+    /** Requests that the leases on the silent worker [workerId] are recorded to end at [leaseEnd]. */
+    fun recordLeaseEnd(
+        workerId: String,
+        leaseEnd: LeaseEndRecord,
+    ) {
+        val record = pendingOrStored(workerId) ?: return
+        if (workerId !in idsOfRejectedRows) changes[workerId] = record.copy(leaseEnd = leaseEnd)
+    }
+
+    /** Requests the removal of the recorded end of the leases on the worker [workerId]. */
+    fun clearLeaseEnd(workerId: String) {
+        val record = pendingOrStored(workerId) ?: return
+        if (record.leaseEnd == null) return
+        val cleared = record.copy(leaseEnd = null)
+        if (workerId !in inFlight && stored[workerId] == cleared) changes.remove(workerId) else changes[workerId] = cleared
+    }
+
     /** Removes the row of the worker [workerId], which can no longer hold any run. */
     fun remove(workerId: String) {
         if (workerId in stored || workerId in inFlight) changes[workerId] = null else changes.remove(workerId)
@@ -109,6 +139,13 @@
         return taken
     }
 
+    /** Records that the store never accepts [change]; a row that was stored before stays in use. */
+    fun recordRejected(change: RosterChange) {
+        if (change.record?.leaseEnd == null || change.workerId !in stored) return
+        idsOfRejectedRows += change.workerId
+        inFlight.remove(change.workerId)
+    }
+
     /** Records that the changes [taken] are stored. */
     fun confirmStored(taken: List<RosterChange>) {
         taken.forEach { change ->
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.verbenagauge.entry.clock.Clock
+import org.verbenagauge.entry.jobs.engine.StoreReading
 import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowExpectation
 import org.verbenagauge.entry.jobs.ports.RowStore
@@ -55,6 +56,12 @@
     var confirmedSentAtMillis = confirmedSentAtMillis
         private set
 
+    /** Receives the store's time after each write that is known to be stored. */
+    var onStoreTime: (StoreReading) -> Unit = {}
+
+    /** Time on the store's clock after which no lease of an earlier epoch is valid; stored with each write. */
+    var earlierLeasesEndMillis: Long? = null
+
     private var pending: PendingWrite? = null
 
     /** Whether a write has begun whose outcome is not known yet. */
@@ -78,6 +85,7 @@
                 omitsPending = figures.omitsPending,
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = record.keepsRoster || isRosterComplete,
+                earlierLeasesEndMillis = earlierLeasesEndMillis,
             )
         pending = PendingWrite(next, changes)
     }
@@ -86,7 +94,13 @@
     suspend fun release() {
         withTimeoutOrNull(RELEASE_MILLIS) {
             if (hasPendingWrite && settle() is ChainOutcome.Lost) return@withTimeoutOrNull
-            val released = record.copy(entryId = "", sequence = record.sequence + 1, pendingAgeMillis = null)
+            val released =
+                record.copy(
+                    entryId = "",
+                    sequence = record.sequence + 1,
+                    pendingAgeMillis = null,
+                    earlierLeasesEndMillis = earlierLeasesEndMillis,
+                )
             pending = PendingWrite(released, emptyList())
             settle()
         }
@@ -114,7 +128,11 @@
         val row = RowChange(StoredTables.states, StoredTables.OWNER_KEY, encode(write.record))
         val condition = RowExpectation(StoredTables.states, StoredTables.OWNER_KEY, version)
         return when (val outcome = store.transact(listOf(condition), write.changes + row, timeoutMillis)) {
-            is TransactionOutcome.Applied -> confirm(write, outcome.version, sentAtMillis)
+            is TransactionOutcome.Applied -> {
+                outcome.storeMillis?.let { onStoreTime(StoreReading(it, sentAtMillis, clock.monotonicMillis())) }
+                confirm(write, outcome.version, sentAtMillis)
+            }
+
             is TransactionOutcome.Conflict -> resolveConflict(write, outcome)
             is TransactionOutcome.Unavailable -> ChainOutcome.Unconfirmed(outcome.cause)
             is TransactionOutcome.Rejected -> reject(outcome.cause)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -114,6 +114,8 @@
             val reason = endReason.await()
             tasks.cancel()
             drivers.values.forEach { it.close() }
+            tasks.join()
+            // The next owner relies on it that no order is sent after the release.
             if (releaseRequested) lease.release()
             reason
         }
@@ -185,6 +187,7 @@
             when {
                 !writer.isLeaseValid() -> leaseUncertain
                 engine.isEvacuated(action.address.workerId) -> zoneEvacuated
+                !engine.mayGrant(action.address.workerId) -> workerSilent
                 else -> ports.workers.start(action.address, action.order)
             }
         if (outcome is OrderOutcome.Unanswered || outcome is OrderOutcome.NotSent) delay(ORDER_RETRY_MILLIS)
@@ -248,6 +251,7 @@
     private companion object {
         val leaseUncertain = OrderOutcome.NotSent("the owner's lease may have expired")
         val zoneEvacuated = OrderOutcome.NotSent("the worker's zone is evacuated")
+        val workerSilent = OrderOutcome.NotSent("the worker is silent, and the end of its leases is stored")
         const val TICK_MILLIS = 100L
 
         // State that changes with time alone changes in steps of tenths of a second.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -161,7 +161,11 @@
     private fun rosterPart(change: RosterChange): WritePart {
         val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
         val row = RowChange(StoredTables.roster, change.workerId, bytes)
-        return WritePart(listOf(row), onStored = { engine.state.roster.confirmStored(listOf(change)) })
+        return WritePart(
+            rows = listOf(row),
+            onStored = { engine.state.roster.confirmStored(listOf(change)) },
+            onRejected = { engine.state.roster.recordRejected(change) },
+        )
     }
 
     private fun jobPart(change: JobChange): WritePart {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -9,6 +9,9 @@
 import org.verbenagauge.entry.clock.Clock
 import org.verbenagauge.entry.jobs.engine.EngineLimits
 import org.verbenagauge.entry.jobs.engine.JobEngine
+import org.verbenagauge.entry.jobs.engine.StoreReading
+import org.verbenagauge.entry.jobs.engine.leaseExpiryMillis
+import org.verbenagauge.entry.jobs.engine.takeoverLeaseMillis
 import org.verbenagauge.entry.jobs.front.ObservedOwner
 import org.verbenagauge.entry.jobs.front.StateCatalogue
 import org.verbenagauge.entry.jobs.model.JobsConfiguration
@@ -140,6 +143,7 @@
                 pendingByQueue = seen.record?.pendingByQueue.orEmpty(),
                 writtenUnixMillis = clock.wallMillis(),
                 keepsRoster = seen.record?.keepsRoster ?: (seen.version == 0L),
+                leaseEndsSinceEpoch = seen.record?.leaseEndsSinceEpoch ?: epoch,
             )
         val sentAtMillis = clock.monotonicMillis()
         val outcome =
@@ -159,6 +163,15 @@
         val newEngine = JobEngine(record.epoch, newLimits, clock.monotonicMillis())
         newEngine.configure(current)
         newEngine.state.isRosterKnown = record.keepsRoster
+        newEngine.state.leaseEndsSinceEpoch = record.leaseEndsSinceEpoch ?: epoch
+        outcome.storeMillis?.let { storeMillis ->
+            newEngine.state.storeClock.record(StoreReading(storeMillis, sentAtMillis, clock.monotonicMillis()))
+            val endMillis =
+                earlierLeasesEndMillis(seen, storeMillis - (sentAtMillis - seen.observedAtMillis), newLimits)
+            newEngine.state.earlierLeasesEndMillis = endMillis
+            lease.earlierLeasesEndMillis = endMillis
+        }
+        lease.onStoreTime = newEngine.state.storeClock::record
         val fullRowRetentionMillis = if (newLimits.load.accountShares) AccountShares.LOOKBACK_MILLIS else 0
         val cleaner = EndedJobCleaner(ports.store, clock, fullRowRetentionMillis)
         val progressRows = ProgressRows()
@@ -166,6 +179,19 @@
         runTerm(lease, newEngine, cleaner, progressRows, workVersion)
     }
 
+    // The earlier owner wrote its row before [observedAtStoreMillis], as this entry has not seen it change since. It
+    // orders nothing after its release, and otherwise until its lease has expired.
+    private fun earlierLeasesEndMillis(
+        seen: ObservedOwner,
+        observedAtStoreMillis: Long,
+        limits: EngineLimits,
+    ): Long {
+        val beforeThat = seen.record?.earlierLeasesEndMillis
+        val isReleased = seen.record?.entryId?.isEmpty() == true && beforeThat != null
+        val boundMillis = if (isReleased) limits.leaseExpiryMillis else limits.takeoverLeaseMillis
+        return maxOf(observedAtStoreMillis + boundMillis, beforeThat ?: 0)
+    }
+
     private suspend fun runTerm(
         lease: OwnerLease,
         newEngine: JobEngine,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/RowStore.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/RowStore.kt
@@ -37,9 +37,15 @@
 
 /** Outcome of a transaction. */
 public sealed interface TransactionOutcome {
-    /** All changes took effect; [version] is the version of the changed rows. */
+    /**
+     * All changes took effect.
+     *
+     * @property version version of the changed rows.
+     * @property storeMillis time on the store's steady clock, after the changes took effect; null when not reported.
+     */
     public data class Applied(
         val version: Long,
+        val storeMillis: Long? = null,
     ) : TransactionOutcome
 
     /** A condition did not hold; nothing took effect. [rows] are the current rows of the conditions. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -106,6 +106,10 @@
  * @property pendingAgeMillis time for which the owner had not read accepted jobs when it counted [pendingByQueue]; null
  * when it has not counted, as while it takes over and repeats the counts of the owner before it.
  * @property omitsPending whether queues with pending jobs are left out of [pendingByQueue] for want of room.
+ * @property leaseEndsSinceEpoch epoch since which every owner has removed the [LeaseEndRecord] of a worker before it
+ * granted a lease there; releases without such records do not write this field.
+ * @property earlierLeasesEndMillis time on the store's steady clock after which no lease of an earlier epoch is valid;
+ * null when not known.
  */
 @Serializable
 public data class OwnerRecord(
@@ -118,6 +122,8 @@
     val pressure: LoadPressure? = null,
     val pendingAgeMillis: Long? = null,
     val omitsPending: Boolean = false,
+    val leaseEndsSinceEpoch: Long? = null,
+    val earlierLeasesEndMillis: Long? = null,
 )
 
 /**
@@ -145,6 +151,8 @@
  * @property bornUnixMillis start time of its incarnation; 0 when not reported.
  * @property machineId machine on which it runs; empty when not reported.
  * @property queueNames queues whose tasks may have been sent to the worker.
+ * @property leaseEnd end of the leases on a silent worker; null on others, and in records of releases that do not store
+ * it.
  */
 @Serializable
 public data class RosterRecord(
@@ -154,6 +162,22 @@
     val bornUnixMillis: Long,
     val machineId: String,
     val queueNames: Set<String>,
+    val leaseEnd: LeaseEndRecord? = null,
+)
+
+/**
+ * End of all leases on a silent worker. While it is stored, no owner grants a lease to the worker or orders a run there.
+ *
+ * @property epoch epoch of the owner that stored it.
+ * @property storeMillis time on the store's steady clock after which no lease on the worker is valid.
+ * @property hasOpenOrders whether a start order got no answer, so that a later incarnation of the worker with the same ID
+ * may still carry it out.
+ */
+@Serializable
+public data class LeaseEndRecord(
+    val epoch: Long,
+    val storeMillis: Long,
+    val hasOpenOrders: Boolean = false,
 )
 
 /** Codec of stored records. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreAnswers.kt
@@ -1,5 +1,8 @@
 package org.verbenagauge.platform
 
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.longOrNull
 import org.verbenagauge.entry.jobs.ports.ReadResult
 import org.verbenagauge.entry.jobs.ports.StoredRow
 import org.verbenagauge.entry.jobs.ports.TransactionOutcome
@@ -23,7 +26,8 @@
     val unclear = TransactionOutcome.Unknown("unclear answer, status ${answer.status}")
     return when (answer.status) {
         OK ->
-            decode(WireApplied.serializer(), answer.body)?.let { TransactionOutcome.Applied(it.rowVersion) }
+            decode(WireApplied.serializer(), answer.body)
+                ?.let { TransactionOutcome.Applied(it.rowVersion, storeMillis(it.currentTimeMs)) }
                 ?: unclear
         CONDITION_FAILED -> conflict(answer.body) ?: unclear
         in rejections -> TransactionOutcome.Rejected("status ${answer.status}: ${quote(answer.body)}")
@@ -32,6 +36,9 @@
     }
 }
 
+private fun storeMillis(value: JsonElement?): Long? =
+    (value as? JsonPrimitive)?.longOrNull?.takeIf(exactNumbers::contains)
+
 private fun quote(body: ByteArray): String = body.decodeToString().take(MAX_QUOTED_CHARACTERS)
 
 private fun conflict(body: ByteArray): TransactionOutcome.Conflict? {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -164,6 +164,8 @@
 @Serializable
 internal data class WireApplied(
     @SerialName("RowVersion") val rowVersion: Long,
+    // Of any type: whether the changes took effect does not depend on it.
+    @SerialName("CurrentTimeMs") val currentTimeMs: JsonElement? = null,
 )
 
 @Serializable
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskAfterTakeoversTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskAfterTakeoversTest.kt
@@ -57,7 +57,15 @@
     private val machines =
         List(WORKERS) { index ->
             WorkerMachine(index, 4_000, time, store, storeFaults, trace) { workerId, number ->
-                WorkerIncarnation(IncarnationId(workerId, number), 1 + time.nowMillis, 0.98, time, random, oracle, trace)
+                WorkerIncarnation(
+                    IncarnationId(workerId, number),
+                    1 + time.nowMillis,
+                    0.98,
+                    time,
+                    random,
+                    oracle,
+                    trace,
+                )
             }
         }
     private val env =
@@ -138,10 +146,19 @@
                         OwnerChanges("$loss, no change of the owner", loss),
                         OwnerChanges("$loss, the owner is stopped once", loss, seconds(2.6)),
                         OwnerChanges("$loss, the owner is stopped as the worker is lost", loss, seconds(0.0)),
-                        OwnerChanges("$loss, owners are stopped one after the other", loss, seconds(1.0, 3.0, 5.0, 7.0)),
+                        OwnerChanges(
+                            "$loss, owners are stopped one after the other",
+                            loss,
+                            seconds(1.0, 3.0, 5.0, 7.0),
+                        ),
                         OwnerChanges("$loss, owners are stopped late", loss, seconds(4.0, 6.0, 8.0)),
                         OwnerChanges("$loss, the owner is killed", loss, emptyList(), seconds(3.0)),
-                        OwnerChanges("$loss, owners are stopped and one is killed", loss, seconds(1.0, 5.0), seconds(3.0)),
+                        OwnerChanges(
+                            "$loss, owners are stopped and one is killed",
+                            loss,
+                            seconds(1.0, 5.0),
+                            seconds(3.0),
+                        ),
                     )
                 },
             ) { changes ->
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VirtualStore.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/VirtualStore.kt
@@ -35,7 +35,7 @@
     ): TransactionOutcome {
         val isMet = expectations.all { (row(it.place, it.key)?.version ?: 0) == it.version }
         if (!isMet) return TransactionOutcome.Conflict(expectations.mapNotNull { row(it.place, it.key) })
-        if (changes.isEmpty()) return TransactionOutcome.Applied(version)
+        if (changes.isEmpty()) return applied()
         version++
         changes.forEach { change ->
             val place = rows.getOrPut(change.place) { TreeMap() }
@@ -46,9 +46,11 @@
         val tables = changes.mapTo(HashSet()) { it.place.table }
         waiters.filter { it.table in tables }.forEach(::answer)
         waiters.removeIf { it.isDone }
-        return TransactionOutcome.Applied(version)
+        return applied()
     }
 
+    private fun applied() = TransactionOutcome.Applied(version, STEADY_BASE_MILLIS + time.nowMillis)
+
     private fun answer(waiter: Waiter) {
         if (waiter.isDone) return
         waiter.isDone = true
@@ -102,4 +104,9 @@
         val first = all.indexOfLast { it.version <= afterVersion } + 1
         return all.subList(first, all.size).toList()
     }
+
+    private companion object {
+        // Not the base of any process: clocks of different machines must not be compared.
+        const val STEADY_BASE_MILLIS = 70_000L
+    }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/platform/StoreAnswerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/platform/StoreAnswerTest.kt
@@ -20,7 +20,9 @@
 
 private fun text(outcome: TransactionOutcome) =
     when (outcome) {
-        is TransactionOutcome.Applied -> "applied ${outcome.version}"
+        is TransactionOutcome.Applied ->
+            "applied ${outcome.version}" +
+                outcome.storeMillis?.let { ", store time $it" }.orEmpty()
         is TransactionOutcome.Conflict -> "conflict ${outcome.rows.map { it.version }}"
         is TransactionOutcome.Unavailable -> "refused"
         is TransactionOutcome.Rejected -> "rejected, ${outcome.cause}"
@@ -39,7 +41,20 @@
         context("only a readable answer of the protocol tells what became of a transaction") {
             withData(
                 nameFn = { it.name },
-                StoreCase("applied", 200, """{"RowVersion":412,"CurrentTimeMs":1}""", "applied 412"),
+                StoreCase("applied", 200, """{"RowVersion":412,"CurrentTimeMs":1}""", "applied 412, store time 1"),
+                StoreCase("applied at no time", 200, """{"RowVersion":412}""", "applied 412"),
+                StoreCase(
+                    "applied at a time of another type",
+                    200,
+                    """{"RowVersion":412,"CurrentTimeMs":{}}""",
+                    "applied 412",
+                ),
+                StoreCase(
+                    "applied at a time in words",
+                    200,
+                    """{"RowVersion":412,"CurrentTimeMs":"x"}""",
+                    "applied 412",
+                ),
                 StoreCase("applied at no version", 200, "{}", "not known"),
                 StoreCase("applied at a version of another type", 200, """{"RowVersion":"x"}""", "not known"),
                 StoreCase("applied in words", 200, "ok", "not known"),
