Remove the rows of idle workers with the release of the owner

The next owner waits for every worker with a stored row, also for one that held nothing, and an owner notices the loss of an idle worker only as its entry in the platform's list expires, after 4.5 s.

The owner that stops knows which workers hold nothing; its successor did not.

Evidence: LastingTaskAfterTakeoversTest, "with an idle one, one stop": the owner is stopped 3.5 s after the loss of both.

The mend: the write that releases ownership removes the rows of up to 95 workers that have listed everything, run nothing and have no end that is not stored. No order is sent between that and the release. A release that fails or is late leaves rows as they were. The successor stores the rows again as it lists the workers. After a kill of the owner the wait remains.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -279,11 +279,23 @@
         worker: WorkerEntry,
         now: Long,
     ) {
-        if (worker.isListed || !worker.hasReportedAll || worker.runs.isNotEmpty()) return
-        val isStored = worker.storedEnd >= worker.seenEnd && !state.endsOfUnreadJobs.hasAny(worker)
-        if (isStored) workers.drop(worker, "the platform no longer lists it", now)
+        if (!worker.isListed && isSettled(worker)) workers.drop(worker, "the platform no longer lists it", now)
     }
 
+    private fun isSettled(worker: WorkerEntry): Boolean {
+        if (!worker.hasReportedAll || worker.runs.isNotEmpty()) return false
+        return worker.storedEnd >= worker.seenEnd && !state.endsOfUnreadJobs.hasAny(worker)
+    }
+
+    /**
+     * IDs of the workers with a stored row that hold nothing which the next owner has to know. Holds while no order is
+     * sent.
+     */
+    fun settledWorkerIds(): List<String> =
+        state.workers.values
+            .filter { isSettled(it) && state.roster.isStored(it.id) }
+            .map { it.id }
+
     /** Records that the machine of [workerId] was shut down on request, so that nothing runs there any more. */
     fun handleMachineStopped(
         workerId: String,
@@ -486,7 +498,8 @@
         now: Long,
     ) {
         val haveLeasesEnded =
-            earlierRuns.haveLeasesEnded(worker, now) || earlierRuns.haveLeasesExpiredSince(worker.unlistedSinceMillis, now)
+            earlierRuns.haveLeasesEnded(worker, now) ||
+                earlierRuns.haveLeasesExpiredSince(worker.unlistedSinceMillis, now)
         if (worker.isListed || !haveLeasesEnded) return
         workers.drop(worker, "the platform does not list it, it has never answered, and every lease has expired", now)
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -121,9 +121,18 @@
         val record = pendingOrStored(workerId) ?: return
         if (record.leaseEnd == null) return
         val cleared = record.copy(leaseEnd = null)
-        if (workerId !in inFlight && stored[workerId] == cleared) changes.remove(workerId) else changes[workerId] = cleared
+        if (workerId !in inFlight &&
+            stored[workerId] == cleared
+        ) {
+            changes.remove(workerId)
+        } else {
+            changes[workerId] = cleared
+        }
     }
 
+    /** Whether a row of the worker [workerId] is stored. */
+    fun isStored(workerId: String): Boolean = workerId in stored
+
     /** Removes the row of the worker [workerId], which can no longer hold any run. */
     fun remove(workerId: String) {
         if (workerId in stored || workerId in inFlight) changes[workerId] = null else changes.remove(workerId)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerLease.kt
@@ -90,8 +90,11 @@
         pending = PendingWrite(next, changes)
     }
 
-    /** Releases ownership, unless it is already lost or the store does not answer in time. */
-    suspend fun release() {
+    /**
+     * Releases ownership together with [changes], unless it is already lost or the store does not answer in time. Only
+     * the changes that fit into one transaction are written.
+     */
+    suspend fun release(changes: List<RowChange> = emptyList()) {
         withTimeoutOrNull(RELEASE_MILLIS) {
             if (hasPendingWrite && settle() is ChainOutcome.Lost) return@withTimeoutOrNull
             val released =
@@ -101,7 +104,7 @@
                     pendingAgeMillis = null,
                     earlierLeasesEndMillis = earlierLeasesEndMillis,
                 )
-            pending = PendingWrite(released, emptyList())
+            pending = PendingWrite(released, changes.take(MAX_CHANGES))
             settle()
         }
     }
@@ -178,6 +181,9 @@
         private const val WRITE_TIMEOUT_MILLIS = 400L
         private const val RETRY_MILLIS = 60L
 
+        // The condition and the row of the owner are entries of the transaction as well, which takes 100.
+        private const val MAX_CHANGES = 95
+
         // A planned stop takes no more than a few seconds, and another entry waits for this write.
         private const val RELEASE_MILLIS = 1_000L
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskAfterTakeoversTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskAfterTakeoversTest.kt
@@ -38,6 +38,7 @@
     val loss: Loss,
     val stopsAtMillis: List<Long> = emptyList(),
     val killsAtMillis: List<Long> = emptyList(),
+    val isIdleWorkerLost: Boolean = false,
 ) {
     override fun toString() = name
 }
@@ -109,6 +110,7 @@
                     networkFaults.cut(machine.address, entry.id, END_MILLIS)
                 }
         }
+        if (changes.isIdleWorkerLost) machines.first { it !== machine }.crash(downMillis = END_MILLIS, isRenamed = true)
         watch()
     }
 
@@ -152,6 +154,7 @@
                             seconds(1.0, 3.0, 5.0, 7.0),
                         ),
                         OwnerChanges("$loss, owners are stopped late", loss, seconds(4.0, 6.0, 8.0)),
+                        OwnerChanges("$loss with an idle one, one stop", loss, seconds(3.5), isIdleWorkerLost = true),
                         OwnerChanges("$loss, the owner is killed", loss, emptyList(), seconds(3.0)),
                         OwnerChanges(
                             "$loss, owners are stopped and one is killed",
