Tell which workers are silent and until when their leases last

Operators saw neither which worker a start waited for nor until when. Event 7039 names a worker whose end of leases is stored, since when it is silent, how many runs it has and when its leases end.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -73,6 +73,7 @@
     START_WAITS,
     RUNS_KNOWN,
     WORKER_HEARD,
+    WORKER_SILENT,
     WORKER_AVOIDED,
     MACHINE_DOUBTED,
     MACHINE_TRUSTED,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
@@ -18,11 +18,24 @@
                 silentSince == null -> recordAnswer(worker)
                 now - silentSince < MIN_SILENCE_MILLIS || reading.sentAtMillis < silentSince -> Unit
                 state.roster.leaseEndOf(worker.id) == null ->
-                    leaseEnd(worker, reading)?.let { state.roster.recordLeaseEnd(worker.id, it) }
+                    leaseEnd(worker, reading)?.let { record(worker, it, now) }
             }
         }
     }
 
+    private fun record(
+        worker: WorkerEntry,
+        leaseEnd: LeaseEndRecord,
+        now: Long,
+    ) {
+        if (!state.roster.recordLeaseEnd(worker.id, leaseEnd)) return
+        val leftMillis = state.storeClock.leftMillis(leaseEnd.storeMillis, now)
+        val orders = if (leaseEnd.hasOpenOrders) ", a start order is unanswered" else ""
+        val silentMillis = worker.firstFailureMillis?.let { now - it }
+        val detail = "silent for $silentMillis ms with ${worker.runs.size} runs, leases end in $leftMillis ms$orders"
+        state.note(NoteKind.WORKER_SILENT, worker.id, detail)
+    }
+
     /** Requests the removal of the record of [worker] if it has answered. */
     fun recordAnswer(worker: WorkerEntry) {
         if (worker.hasAnswered && worker.firstFailureMillis == null) state.roster.clearLeaseEnd(worker.id)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -107,13 +107,18 @@
     fun mayGrant(workerId: String): Boolean =
         listOfNotNull(stored[workerId], inFlight[workerId], changes[workerId]).all { it.leaseEnd == null }
 
-    /** Requests that the leases on the silent worker [workerId] are recorded to end at [leaseEnd]. */
+    /**
+     * Requests that the leases on the silent worker [workerId] are recorded to end at [leaseEnd]; returns false if it has
+     * no row, or none that the store accepts.
+     */
     fun recordLeaseEnd(
         workerId: String,
         leaseEnd: LeaseEndRecord,
-    ) {
-        val record = pendingOrStored(workerId) ?: return
-        if (workerId !in idsOfRejectedRows) changes[workerId] = record.copy(leaseEnd = leaseEnd)
+    ): Boolean {
+        val record = pendingOrStored(workerId) ?: return false
+        if (workerId in idsOfRejectedRows) return false
+        changes[workerId] = record.copy(leaseEnd = leaseEnd)
+        return true
     }
 
     /** Requests the removal of the recorded end of the leases on the worker [workerId]. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -23,6 +23,7 @@
         NoteKind.START_WAITS -> Event.START_WAITS
         NoteKind.RUNS_KNOWN -> Event.RUNS_KNOWN
         NoteKind.WORKER_HEARD -> Event.WORKER_HEARD
+        NoteKind.WORKER_SILENT -> Event.WORKER_SILENT
         NoteKind.WORKER_AVOIDED -> Event.WORKER_AVOIDED
         NoteKind.WORKER_COLD -> Event.WORKER_COLD
         NoteKind.MACHINE_DOUBTED -> Event.MACHINE_DOUBTED
