Lasting tasks move off a worker that leaves

What callers saw: a lasting task on a worker that had announced that it leaves stayed there until the worker had left, and was then away until the worker's lease had expired, about 6 s, and longer with changes of the owner.

Cause: the list entry of such a worker only kept new runs off it; nothing moved what ran there already.

Change: LeavingWorkers, called in decide after scheduling and only while runs may be ordered, stops runs of lasting tasks on workers that are listed, answer and are not ready. It does so only if the scheduler could start the task again (runs of earlier owners known, no suspicion against it, no advice needed), if a healthy worker has room for it beside the other tasks that are being moved, and if the step may miss one more task (at least one at a time). The takeover bound of LastingGuard is not applied: what an order of the previous owner may still end is on a worker that leaves anyway, and unread runs are covered by EarlierRuns.

Why it works: the worker is still there to list the end, so the task starts elsewhere at once instead of after the lease. The stop goes through RunTracker, so the task gets its next run only after the end of the first is listed.

Open: gangs and queues that need advice stay; runs that save and do not last are not moved, though they could be; RemainingMs is not read, so that several tasks of one step on a worker with a short notice may not all move in time; nothing keeps the room free between the stop and the start, other than that lasting jobs come first in the order.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -57,6 +57,7 @@
     private val paceGuard = PaceGuard(state)
     private val gangGuard = GangGuard(state, runs)
     private val evacuation = Evacuation(state, runs)
+    private val leavingWorkers = LeavingWorkers(state, runs, earlierRuns, placement, doubts)
     private val coldWorkers = ColdWorkerLimiter(state, coldRoom)
     private val accountReport = AccountSurplusReport(state, accounts)
     private val silentWorkers = SilentWorkers(state)
@@ -458,6 +459,7 @@
             scheduler.schedule(now)
             scheduler.runCopies(now)
             rescue?.check(now)
+            leavingWorkers.check(now)
         }
         return state.takeActions()
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/LastingGuard.kt
@@ -26,15 +26,26 @@
         alsoEnding: Set<String>,
         now: Long,
     ): Boolean {
-        val step =
-            state.jobs[run.taskId.jobId]
-                ?.task(run.taskId)
-                ?.step ?: return true
-        if (now - state.startedAtMillis < TAKEOVER_SETTLING_MILLIS) return false
+        val isSettled = now - state.startedAtMillis >= TAKEOVER_SETTLING_MILLIS
+        return stepOf(run) == null || isSettled && areEnoughServing(run, alsoEnding, now)
+    }
+
+    /**
+     * Returns whether the step of [run] allows that it ends now, given that the runs on the workers [alsoEnding] end as
+     * well. Orders of the previous owner that are not visible yet are not considered.
+     */
+    fun areEnoughServing(
+        run: Run,
+        alsoEnding: Set<String>,
+        now: Long,
+    ): Boolean {
+        val step = stepOf(run) ?: return true
         val unavailable = step.tasks.count { it.id != run.taskId && !isServing(it, alsoEnding, now) }
         return unavailable < maxOf(1, step.specification.mayMiss ?: 1)
     }
 
+    private fun stepOf(run: Run): StepEntry? = state.jobs[run.taskId.jobId]?.task(run.taskId)?.step
+
     private fun isServing(
         task: TaskEntry,
         alsoEnding: Set<String>,
