Keep the stored end of leases until the platform's list has been read

A new owner that decided before it had read the platform's list took a restored, silent worker for one that the list lacks, dropped it with its stored end, and waited for it in full when the list named it.

The mend asks whether the list has been read; the new test of NextOwnerWaitsForSilentWorkerTest decides before that.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -502,7 +502,8 @@
         val haveLeasesEnded =
             earlierRuns.haveLeasesEnded(worker, now) ||
                 earlierRuns.haveLeasesExpiredSince(worker.unlistedSinceMillis, now)
-        if (worker.isListed || !haveLeasesEnded) return
+        // Until the list has been read, a worker of the roster only seems to be missing from it.
+        if (worker.isListed || !state.isWorkerListKnown || !haveLeasesEnded) return
         workers.drop(worker, "the platform does not list it, it has never answered, and every lease has expired", now)
     }
 
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/NextOwnerWaitsForSilentWorkerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/NextOwnerWaitsForSilentWorkerTest.kt
@@ -119,6 +119,15 @@
             }
         }
 
+        test("the stored end of a worker is kept until the platform's list has been read") {
+            val engine = secondOwner(InheritedRow("", 0, leaseEnd(-1)))
+            engine.state.isWorkerListKnown = false
+            engine.decide(10, 0).starts().shouldBeEmpty()
+            engine.upsertWorker(worker("w1"), now = 20)
+            engine.state.isWorkerListKnown = true
+            engine.decide(20, 0).starts() shouldHaveSize 1
+        }
+
         test("a worker that answers in part is waited for, whatever end was stored") {
             val engine = secondOwner(InheritedRow("", 0, leaseEnd(-1), answersInPart = true))
             engine.decide(3_000, 0).starts().shouldBeEmpty()
