Pass on when an unanswered start order can no longer take effect

What callers would see: a lasting task that waits anew under each owner if its worker was cut off with a start order on its way, which is the ordinary case on a busy worker, and stays listed. The stored end did not count then, as a later incarnation might carry the order out.

The mend stores for such a worker the time of the full wait, counted from when nothing was sent any more, so each owner waits until then at most and no less than before. The case of NextOwnerWaitsForSilentWorkerTest asks for that end where it asked for the full wait.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EarlierRuns.kt
@@ -110,9 +110,10 @@
         now: Long,
     ): Boolean {
         val leaseEnd = state.roster.leaseEndOf(worker.id) ?: return false
+        if (worker.hasAnswered) return false
         val mayRestart = worker.isListed || !state.isWorkerListKnown
-        if (worker.hasAnswered || leaseEnd.hasOpenOrders && mayRestart) return false
-        return state.storeClock.hasPassed(leaseEnd.storeMillis, now)
+        val ordersEndMillis = if (mayRestart) leaseEnd.ordersEndMillis ?: 0 else 0
+        return state.storeClock.hasPassed(maxOf(leaseEnd.storeMillis, ordersEndMillis), now)
     }
 
     /** Whether every lease that an earlier owner may have granted has expired. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
@@ -30,7 +30,7 @@
     ) {
         if (!state.roster.recordLeaseEnd(worker.id, leaseEnd)) return
         val leftMillis = state.storeClock.leftMillis(leaseEnd.storeMillis, now)
-        val orders = if (leaseEnd.hasOpenOrders) ", a start order is unanswered" else ""
+        val orders = if (leaseEnd.ordersEndMillis != null) ", a start order is unanswered" else ""
         val silentMillis = worker.firstFailureMillis?.let { now - it }
         val detail = "silent for $silentMillis ms with ${worker.runs.size} runs, leases end in $leftMillis ms$orders"
         state.note(NoteKind.WORKER_SILENT, worker.id, detail)
@@ -55,7 +55,12 @@
                 state.limits.takeoverLeaseMillis
             }
         val hasOpenOrders = worker.runs.values.any { it.isUncertain || it.phase == RunPhase.STARTING }
-        return LeaseEndRecord(state.epoch, reading.storeMillis + leftMillis, hasOpenOrders)
+        val ordersEndMillis = reading.storeMillis + state.limits.takeoverLeaseMillis
+        return LeaseEndRecord(
+            epoch = state.epoch,
+            storeMillis = reading.storeMillis + leftMillis,
+            ordersEndMillis = ordersEndMillis.takeIf { hasOpenOrders },
+        )
     }
 
     private companion object {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/records/JobRecords.kt
@@ -170,14 +170,14 @@
  *
  * @property epoch epoch of the owner that stored it.
  * @property storeMillis time on the store's steady clock after which no lease on the worker is valid.
- * @property hasOpenOrders whether a start order got no answer, so that a later incarnation of the worker with the same ID
- * may still carry it out.
+ * @property ordersEndMillis time on the store's steady clock until which a later incarnation of the worker with the same
+ * ID may carry out a start order and run its task; null if every start order was answered.
  */
 @Serializable
 public data class LeaseEndRecord(
     val epoch: Long,
     val storeMillis: Long,
-    val hasOpenOrders: Boolean = false,
+    val ordersEndMillis: Long? = null,
 )
 
 /** Codec of stored records. */
