Store the full wait for silent workers that have restarted in the term

A renewal meant for an earlier incarnation of a worker with the same ID may be carried out by the present one, whose clock has started again: its lease can then last longer than this owner has granted. For such a worker the stored end is now that of the full wait, as for one that has not answered.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
@@ -47,9 +47,9 @@
         reading: StoreReading,
     ): LeaseEndRecord? {
         if (!worker.hasLeases) return state.earlierLeasesEndMillis?.let { LeaseEndRecord(state.epoch, it) }
-        // The clock of an incarnation that has not answered is not known.
+        // Leases of earlier incarnations are not known, and their renewals may reach the present one.
         val leftMillis =
-            if (worker.hasAnswered) {
+            if (worker.hasAnswered && worker.incarnationSinceMillis == 0L) {
                 worker.leasesLeftMillis(reading.sentAtMillis, state.limits)
             } else {
                 state.limits.takeoverLeaseMillis
