Ask a worker that answers again less often until its row is stored

A worker whose recorded end of leases is being removed was listed without a wait, so that it was asked again every 10 ms and round trip until the store had answered; after a cut of many workers that is most of what the owner does. It may now hold its answer for 100 ms.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -321,13 +321,19 @@
         if (!worker.needsRenewal()) return null
         // After a call without a readable listing nothing is granted or acknowledged until the next readable one, so
         // that the leases of the runs there expire if none arrives.
-        val canTrust =
-            isProven && worker.hasAnswered && worker.firstFailureMillis == null && state.roster.mayGrant(workerId)
+        val isTrusted = isProven && worker.hasAnswered && worker.firstFailureMillis == null
+        val canTrust = isTrusted && state.roster.mayGrant(workerId)
         val lease = (worker.estimatedClockMillis(now) + limits.leaseMillis).takeIf { canTrust }
         if (lease != null) worker.leaseUntilWorkerMillis = maxOf(worker.leaseUntilWorkerMillis, lease)
         val acknowledged = if (canTrust) worker.storedEnd else 0
         worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, acknowledged)
-        return Renewal(lease, state.epoch, acknowledged, if (canTrust) waitMillis else 0)
+        val longestWaitMillis =
+            when {
+                canTrust -> waitMillis
+                isTrusted -> minOf(waitMillis, ROW_WAIT_MILLIS)
+                else -> 0
+            }
+        return Renewal(lease, state.epoch, acknowledged, longestWaitMillis)
     }
 
     // A worker that has not answered gets no work until it does, so it is queried again even if nothing runs there.
@@ -537,6 +543,9 @@
     private companion object {
         const val TICKET_MARGIN_MILLIS = 500L
 
+        // Until the removal of the recorded end of its leases is stored, a worker is asked no more often than this.
+        const val ROW_WAIT_MILLIS = 100L
+
         // More queues than usually share one pool. Further ones are recorded with their first task.
         const val MAX_QUEUES_RECORDED_IN_ADVANCE = 20
     }
