An owner that stops passes on the ends of leases that are not stored yet

A worker counts as silent 600 ms after its first failed call, and the end of its leases goes to the store with a later write, so a short term passed nothing on.

The release now stores the ends that are known and not stored, also for workers that the owner has not heard, as it granted them nothing. Two new tests of NextOwnerWaitsForSilentWorkerTest ask what an owner that stops stores.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -289,13 +289,20 @@
     }
 
     /**
-     * IDs of the workers with a stored row that hold nothing which the next owner has to know. Holds while no order is
+     * Changes of the roster for the next owner, the most useful ones first: the ends of leases that are not stored yet,
+     * and the removal of workers that hold nothing, beginning with those not heard for longest. Valid while no order is
      * sent.
      */
-    fun settledWorkerIds(): List<String> =
-        state.workers.values
-            .filter { isSettled(it) && state.roster.isStored(it.id) }
-            .map { it.id }
+    fun rosterForNextOwner(): List<RosterChange> {
+        silentWorkers.recordUnheard()
+        val settled =
+            state.workers.values
+                .filter { isSettled(it) && state.roster.isStored(it.id) }
+                .sortedBy { it.lastAnswerMillis }
+        val changes = state.roster.unstoredLeaseEnds() + settled.map { RosterChange(it.id, null) }
+        // A worker that holds nothing is removed, also if the end of its leases is not stored yet.
+        return changes.associateBy { it.workerId }.values.toList()
+    }
 
     /** Records that the machine of [workerId] was shut down on request, so that nothing runs there any more. */
     fun handleMachineStopped(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SilentWorkers.kt
@@ -23,6 +23,15 @@
         }
     }
 
+    /** Records the end of the leases on workers that have not answered under this epoch, which granted them nothing. */
+    fun recordUnheard() {
+        val endMillis = state.earlierLeasesEndMillis ?: return
+        state.workers.values
+            .filter { !it.hasAnswered && !it.hasLeases && state.roster.isStored(it.id) }
+            .filter { state.roster.leaseEndOf(it.id) == null }
+            .forEach { state.roster.recordLeaseEnd(it.id, LeaseEndRecord(state.epoch, endMillis)) }
+    }
+
     private fun record(
         worker: WorkerEntry,
         leaseEnd: LeaseEndRecord,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerRoster.kt
@@ -135,6 +135,10 @@
         }
     }
 
+    /** Returns the requested ends of leases that are not stored yet. */
+    fun unstoredLeaseEnds(): List<RosterChange> =
+        changes.filterValues { it?.leaseEnd != null }.map { RosterChange(it.key, it.value) }
+
     /** Whether a row of the worker [workerId] is stored. */
     fun isStored(workerId: String): Boolean = workerId in stored
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -16,7 +16,6 @@
 import org.verbenagauge.entry.jobs.fleet.WaveRunner
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.PlacementAdvisor
-import org.verbenagauge.entry.jobs.ports.RowChange
 import org.verbenagauge.entry.jobs.ports.RowStore
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.ports.WorkerGateway
@@ -118,7 +117,7 @@
             tasks.join()
             // The next owner relies on it that no order is sent after the release.
             if (releaseRequested) {
-                lease.release(engine.settledWorkerIds().map { RowChange(StoredTables.roster, it, null) })
+                lease.release(engine.rosterForNextOwner().map(::rosterRow))
             }
             reason
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerWriter.kt
@@ -15,6 +15,12 @@
 import org.verbenagauge.entry.jobs.records.RosterRecord
 import org.verbenagauge.entry.jobs.records.StateRecord
 
+/** Returns the change of the stored row that [change] stands for. */
+internal fun rosterRow(change: RosterChange): RowChange {
+    val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
+    return RowChange(StoredTables.roster, change.workerId, bytes)
+}
+
 /** Stores the engine's decisions in batches and renews the owner's lease with each write. */
 internal class OwnerWriter(
     private val lease: OwnerLease,
@@ -158,15 +164,12 @@
             .copy(pendingAgeMillis = now - engine.state.jobsHeardAtMillis)
     }
 
-    private fun rosterPart(change: RosterChange): WritePart {
-        val bytes = change.record?.let { RecordCodec.encode(RosterRecord.serializer(), it) }
-        val row = RowChange(StoredTables.roster, change.workerId, bytes)
-        return WritePart(
-            rows = listOf(row),
+    private fun rosterPart(change: RosterChange): WritePart =
+        WritePart(
+            rows = listOf(rosterRow(change)),
             onStored = { engine.state.roster.confirmStored(listOf(change)) },
             onRejected = { engine.state.roster.recordRejected(change) },
         )
-    }
 
     private fun jobPart(change: JobChange): WritePart {
         val isHeldBack = (retryProgressAtMillis[change.jobId] ?: Long.MIN_VALUE) > clock.monotonicMillis()
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/NextOwnerWaitsForSilentWorkerTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/NextOwnerWaitsForSilentWorkerTest.kt
@@ -98,7 +98,11 @@
                 InheritedRow("as stored", 2_050, leaseEnd(2_000)),
                 InheritedRow("ended before the takeover", 0, leaseEnd(-1)),
                 InheritedRow("as stored, worker listed", 2_050, leaseEnd(2_000), isListed = true),
-                InheritedRow("an order is open, worker not listed", 2_050, leaseEnd(2_000, ordersEndAfterMillis = 4_000)),
+                InheritedRow(
+                    "an order is open, worker not listed",
+                    2_050,
+                    leaseEnd(2_000, ordersEndAfterMillis = 4_000),
+                ),
                 InheritedRow(
                     "an order is open, worker listed",
                     4_050,
@@ -128,6 +132,20 @@
             engine.decide(20, 0).starts() shouldHaveSize 1
         }
 
+        test("an owner that stops early stores the end of the leases on a worker that it has not heard") {
+            val engine = secondOwner(InheritedRow("", 0, leaseEnd = null, earlierLeasesEndMillis = 6_300))
+            val change = engine.rosterForNextOwner().first { it.workerId == "w1" }
+            change.record?.leaseEnd shouldBe LeaseEndRecord(2, STORE_MILLIS + 6_300)
+        }
+
+        test("an owner that stops removes workers that hold nothing, also a silent one, and no others") {
+            val engine = ownerOfSilentWorker()
+            engine.addRecordedWorker(worker("w2"), now = 0)
+            engine.handleListing("w2", listing(), sentAtMillis = 0, now = 0)
+            engine.storeRoster()
+            engine.rosterForNextOwner().map { it.workerId to (it.record == null) } shouldBe listOf("w2" to true)
+        }
+
         test("a worker that answers in part is waited for, whatever end was stored") {
             val engine = secondOwner(InheritedRow("", 0, leaseEnd(-1), answersInPart = true))
             engine.decide(3_000, 0).starts().shouldBeEmpty()
