--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -20,12 +20,14 @@
 /**
  * Simulates the engine with one seed against virtual workers in virtual time: answers are lost, orders arrive late and
  * out of order, workers crash and stop answering, owners change while the stored ends are stale. The settings of the
- * queue change [queueChanges] times. [afterDecision] is called with the engine after each of its decisions.
+ * queue change [queueChanges] times, and workers leave after an announcement [leaves] times. [afterDecision] is called
+ * with the engine after each of its decisions.
  */
 internal class VirtualPool(
     seed: Int,
     private val limits: EngineLimits = EngineLimits(),
     private val queueChanges: Int = 0,
+    private val leaves: Int = 0,
     private val afterDecision: (JobEngine, Long) -> Unit = { _, _ -> },
 ) {
     private class Event(
@@ -44,6 +46,10 @@
         List(WORKERS) { VirtualWorker("w$it", clockRate = 0.98 + random.nextDouble() * 0.02, oracle, gangs) }
             .associateBy { it.id }
     private val silentUntilMillis = HashMap<String, Long>()
+    private val leavingIds = HashSet<String>()
+
+    /** Number of notes of the engine, by kind. */
+    val notes = HashMap<NoteKind, Int>()
     private var hasFaults = true
 
     // Content of the store.
@@ -80,6 +86,7 @@
         repeat(CRASHES) { at(random.nextLong(faultMillis)) { crash(workers.values.random(random)) } }
         repeat(SILENCES) { at(random.nextLong(faultMillis)) { silenceWorker(workers.values.random(random)) } }
         repeat(queueChanges) { at(random.nextLong(faultMillis)) { configure(randomQueues()) } }
+        repeat(leaves) { at(random.nextLong(faultMillis)) { leave(workers.values.random(random)) } }
         if (queueChanges > 0) at(faultMillis) { configure(configuration().queues) }
         at(faultMillis) { hasFaults = false }
         return run(faultMillis + faultFreeMillis)
@@ -145,6 +152,21 @@
         trace += "$now ${worker.id} is silent until ${silentUntilMillis[worker.id]}"
     }
 
+    // The worker announces that it leaves, serves for a while, ends, and returns as a new incarnation.
+    private fun leave(worker: VirtualWorker) {
+        if (!leavingIds.add(worker.id)) return
+        trace += "$now ${worker.id} leaves"
+        engine?.let { list(it, worker) }
+        at(random.nextLong(300, 4_000)) {
+            crash(worker)
+            engine?.unlist(worker.id, now)
+            at(random.nextLong(100, 2_000)) {
+                leavingIds -= worker.id
+                engine?.let { list(it, worker) }
+            }
+        }
+    }
+
     private fun isSilent(worker: VirtualWorker) = now < (silentUntilMillis[worker.id] ?: 0)
 
     private fun submit(number: Int) {
@@ -215,7 +237,9 @@
         owner: JobEngine,
         listed: VirtualWorker,
     ) {
-        if (owner === engine) owner.upsertWorker(worker(listed.id, WORKER_CPU_MILLIS).copy(bornUnixMillis = 0), now)
+        if (owner !== engine) return
+        val isReady = listed.id !in leavingIds
+        owner.upsertWorker(worker(listed.id, WORKER_CPU_MILLIS).copy(bornUnixMillis = 0, isReady = isReady), now)
     }
 
     private fun tick(owner: JobEngine) {
@@ -269,6 +293,7 @@
         when (action) {
             is EngineAction.Start -> start(owner, action)
             is EngineAction.Stop -> stop(owner, action)
+            is EngineAction.Note -> notes.merge(action.note.kind, 1, Int::plus)
             else -> Unit
         }
     }
