--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskAfterTakeoversTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskAfterTakeoversTest.kt
@@ -2,8 +2,6 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
-import io.kotest.matchers.collections.shouldBeEmpty
-import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.core.config.Configurator
 
@@ -43,12 +41,7 @@
                     )
                 },
             ) { changes ->
-                repeat(5) { seed ->
-                    val play = LastingTaskPlay(changes, seed.toLong())
-                    play.run()
-                    play.violations.shouldBeEmpty()
-                    play.awayMillis shouldBeLessThanOrEqual play.boundMillis
-                }
+                changes.shouldEndTheAbsenceInTime()
             }
         }
     })
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskPlay.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/LastingTaskPlay.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.jobs.owner
 
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import org.verbenagauge.entry.jobs.engine.configuration
 import org.verbenagauge.entry.jobs.engine.job
 import org.verbenagauge.entry.jobs.engine.step
@@ -12,6 +14,7 @@
 private const val LOSS_MILLIS = 10_000L
 private const val RESTART_MILLIS = 3_000L
 private const val END_MILLIS = 45_000L
+private const val SEEDS = 5
 
 // 6 s after the last run a lasting task counts as missing, and 3 s later as lost.
 private const val LASTING_BOUND_MILLIS = 9_000L
@@ -134,3 +137,13 @@
 
 /** Times after the loss of the worker, in milliseconds of the play. */
 internal fun secondsAfterLoss(vararg seconds: Double): List<Long> = seconds.map { LOSS_MILLIS + (it * 1_000).toLong() }
+
+/** Checks with five seeds that the lasting task is away no longer than the pages allow, and that no rule is broken. */
+internal fun OwnerChanges.shouldEndTheAbsenceInTime() {
+    repeat(SEEDS) { seed ->
+        val play = LastingTaskPlay(this, seed.toLong())
+        play.run()
+        play.violations.shouldBeEmpty()
+        play.awayMillis shouldBeLessThanOrEqual play.boundMillis
+    }
+}
