--- a/review/rig-2/Scene.java
+++ b/review/rig-2/Scene.java
@@ -10,6 +10,11 @@
 final class Scene {
     static final String HOST = "127.0.0.1";
 
+    // Codes that a failing Java does not end with, so that its failure is not taken for a result.
+    private static final int HELD = 40;
+    private static final int BROKEN = 41;
+    private static final int COULD_NOT_RUN = 42;
+
     /** Thrown when a case could not run. */
     static final class CannotRun extends Exception {
         CannotRun(String why) {
@@ -44,15 +49,15 @@
             String broken = body.play(scene);
             scene.record.line(broken == null ? "HELD" : "BROKEN: " + broken);
             System.out.println(broken == null ? "held" : "broken: " + broken);
-            code = broken == null ? 0 : 1;
+            code = broken == null ? HELD : BROKEN;
         } catch (CannotRun e) {
             scene.record.line("COULD NOT RUN: " + e.getMessage());
             System.out.println("could not run: " + e.getMessage());
-            code = 2;
+            code = COULD_NOT_RUN;
         } catch (Exception e) {
             e.printStackTrace();
             scene.record.line("COULD NOT RUN: " + e);
-            code = 2;
+            code = COULD_NOT_RUN;
         }
         scene.close();
         Runtime.getRuntime().halt(code);
--- a/review/rig-2/Worker.java
+++ b/review/rig-2/Worker.java
@@ -226,6 +226,11 @@
         long deadline = Json.number(call.get("DeadlineMs"));
         if (isFenced(call)) return answer(409, "fence");
         if (deadline <= clock()) return answer(409, "late");
+        if (Json.string(call.get("Specification")).contains("advised")
+            && !Advisor.isTicket(Json.string(call.get("Ticket")), task, id)) {
+            record.line(id + ": " + task + " run " + runId + " is refused, its ticket is not valid");
+            return answer(409, "ticket");
+        }
         extend(deadline);
         for (Run run : running) if (run.task.equals(task) && run.runId == runId) return answer(200, null);
         if (runId <= highestGone.getOrDefault(task, 0L)) return answer(409, "old");
