--- a/review/rig-2/Cloud.java
+++ b/review/rig-2/Cloud.java
@@ -113,7 +113,7 @@
         machine.waves.add(wave);
         Worker worker = machine.worker;
         machine.worker = null;
-        worker.end("ends for the upkeep of " + id);
+        worker.leave("ends for the upkeep of " + id);
         scene.store.put("servers", worker.id, null);
         Thread back = new Thread(() -> {
             try {
--- a/review/rig-2/Entry.java
+++ b/review/rig-2/Entry.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** One entry of the project, started with the command and the template of settings of the deploy file. */
 final class Entry {
+    static final int DESCRIPTORS = 4_100;
     final String name;
     final String caller;
     final String readiness;
@@ -57,7 +59,9 @@
             if (line.startsWith("run = ")) run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
         }
         List<String> words = new ArrayList<>(List.of(run.split(" ")));
-        ProcessBuilder builder = new ProcessBuilder(words);
+        // The descriptors that the platform gives to a process (FileDescriptors in the settings).
+        ProcessBuilder builder =
+            new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + " && exec " + String.join(" ", words));
         Map<String, String> environment = builder.environment();
         environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         environment.put("VERBENAGAUGE_NODE_FILE", settings.toString());
@@ -70,6 +74,13 @@
         return process != null && process.isAlive();
     }
 
+    /** Number of descriptors that the process holds. */
+    synchronized long descriptors() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            return files.count();
+        }
+    }
+
     synchronized int exitCode() {
         return process.exitValue();
     }
--- a/review/rig-2/Web.java
+++ b/review/rig-2/Web.java
@@ -47,6 +47,11 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** Closes the port and all channels, as the end of a process does. */
+    void close() {
+        server.stop(0);
+    }
+
     private static void serve(HttpExchange exchange, Handler handler) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         Map<String, String> headers = new HashMap<>();
--- a/review/rig-2/Worker.java
+++ b/review/rig-2/Worker.java
@@ -144,12 +144,22 @@
         startClock();
     }
 
+    long bornNanos() {
+        return bornNanos;
+    }
+
     private void startClock() {
         Thread clock = new Thread(this::pass, "worker " + id);
         clock.setDaemon(true);
         clock.start();
     }
 
+    /** Ends this life as [end] does, and for good: its port and its channels are closed. */
+    void leave(String why) {
+        end(why);
+        web.close();
+    }
+
     private long clock() {
         return (System.nanoTime() - bornNanos) / 1_000_000;
     }
@@ -179,7 +189,7 @@
         running.remove(run);
         highestGone.merge(run.task, run.runId, Math::max);
         ends.add(new Object[] {++endNumber, run.task, run.runId, how, ""});
-        record.line(id + ": " + run.task + " run " + run.runId + " ended " + how);
+        record.run(id, run.task, run.runId, "ended " + how);
         observer.ended(this, run, how);
         FLOOR.notifyAll();
     }
@@ -228,7 +238,7 @@
         if (deadline <= clock()) return answer(409, "late");
         if (Json.string(call.get("Specification")).contains("advised")
             && !Advisor.isTicket(Json.string(call.get("Ticket")), task, id)) {
-            record.line(id + ": " + task + " run " + runId + " is refused, its ticket is not valid");
+            record.run(id, task, runId, "is refused, its ticket is not valid");
             return answer(409, "ticket");
         }
         extend(deadline);
@@ -236,7 +246,7 @@
         if (runId <= highestGone.getOrDefault(task, 0L)) return answer(409, "old");
         Run run = new Run(task, runId, clock(), highestToken, Json.string(call.get("Specification")));
         running.add(run);
-        record.line(id + ": " + task + " run " + runId + " starts, token " + highestToken);
+        record.run(id, task, runId, "starts, token " + highestToken);
         observer.started(this, run);
         return answer(200, null);
     }
@@ -257,7 +267,7 @@
         if (call.get("DeadlineMs") != null) extend(Json.number(call.get("DeadlineMs")));
         long cursor = Json.number(call.get("AckCursor"));
         for (Object[] end : ends) {
-            if ((Long) end[0] <= cursor) record.line(id + ": end of " + end[1] + " run " + end[2] + " is taken note of");
+            if ((Long) end[0] <= cursor) record.run(id, (String) end[1], (Long) end[2], "is taken note of");
         }
         ends.removeIf(end -> (Long) end[0] <= cursor);
         long until = System.nanoTime() + Math.min(2_000, Json.number(call.get("WaitMs"))) * 1_000_000;
