--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../rig-2/play.sh" Lengthy "review/7"
+exec "$(dirname "$0")/../rig-2/play.sh" Crowd "review/7"
