--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../rig-2/play.sh" Crowd "review/8"
+exec "$(dirname "$0")/../rig-2/play.sh" Advice "review/8"
