--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -168,6 +168,12 @@
         ) {
             ownership.tasksWaitingForEarlierRuns().toDouble()
         }
+        metrics.gauge(
+            "verbenagauge_unreached_jobs",
+            "Waiting jobs that the last scheduling pass of the owner did not look at",
+        ) {
+            ownership.unreachedJobs().toDouble()
+        }
         metrics.gauge(
             "verbenagauge_jobs_with_waiting_occurrences",
             "Jobs of which a part is due but not held by the owner, since it holds too many tasks",
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -50,8 +50,9 @@
     private val listings = ListingReader(state, registry, runs, health, doubts)
     private val earlierRuns = EarlierRuns(state)
     private val waits = StartWaits(state)
+    private val unreached = UnreachedJobs(state)
     private val scheduler =
-        Scheduler(state, runs, ready, placement, copies ?: copyPolicy(state), earlierRuns, doubts, waits)
+        Scheduler(state, runs, ready, placement, copies ?: copyPolicy(state), earlierRuns, doubts, waits, unreached)
     private val stuckGuard = StuckGuard(state, runs, health)
     private val rescue = StragglerRescue(state, runs).takeIf { limits.load.stragglerRescue }
     private val paceGuard = PaceGuard(state)
@@ -538,6 +539,9 @@
     /** Number of ready tasks that wait until the runs of earlier owners are known. */
     val tasksWaitingForEarlierRuns: Long get() = waits.tasksWaitingForEarlierRuns
 
+    /** Number of waiting jobs that the last scheduling pass did not look at. */
+    val unreachedJobs: Int get() = unreached.count
+
     /** Number of jobs of which a part is due but not held yet, since the engine holds too many tasks. */
     val jobsWithWaitingOccurrences: Int get() = registry.jobsWithWaitingOccurrences
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
@@ -53,6 +53,9 @@
         now: Long,
     ): Iterable<Rank> = readyByService[serviceName]?.inOrder(now) ?: emptyList()
 
+    /** Returns the number of jobs of [serviceName] that waited at the last call of [inOrder]. */
+    fun count(serviceName: String): Int = readyByService[serviceName]?.count ?: 0
+
     /** Returns the capacity that ready tasks of [serviceName] need, by team. */
     fun waitingByTeam(serviceName: String): Map<String, Amount> = readyByService[serviceName]?.waitingByTeam.orEmpty()
 }
@@ -80,6 +83,8 @@
     private val outdated = ArrayDeque<JobEntry>()
     private var isRefreshPending = false
 
+    val count: Int get() = rankedByJob.size
+
     val isEmpty: Boolean get() = rankedByJob.isEmpty() && changed.none { it.readyCount > 0 }
 
     fun changed(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -18,6 +18,7 @@
     private val earlierRuns: EarlierRuns,
     private val doubts: SuspectJobs,
     private val waits: StartWaits,
+    private val unreached: UnreachedJobs,
 ) {
     /** Starts the ready tasks that fit on workers at [now]. */
     fun schedule(now: Long) {
@@ -25,6 +26,7 @@
         state.missingRoomByService.clear()
         state.unsettledRoomByService.clear()
         waits.beginPass()
+        unreached.beginPass()
         ready.services.forEach { ServicePass(it, configuration, now).run() }
     }
 
@@ -106,8 +108,12 @@
         fun run() {
             var blockedJobs = 0
             val deferredRetries = ArrayList<Rank>()
-            for (rank in ready.inOrder(serviceName, now)) {
+            var visitedJobs = 0
+            val ranks = ready.inOrder(serviceName, now).iterator()
+            while (ranks.hasNext()) {
+                val rank = ranks.next()
                 val job = rank.job
+                visitedJobs++
                 if (job.mayHaveEarlierRuns && !areRunsKnown(job)) {
                     recordWaiting(job)
                     continue
@@ -120,6 +126,9 @@
                 if (!start(job, isSurplus = rank.surplusAccount != null) && ++blockedJobs >= MAX_BLOCKED_JOBS) break
             }
             if (blockedJobs >= MAX_BLOCKED_JOBS) recordUnvisitedJobs()
+            if (ranks.hasNext()) {
+                unreached.record(serviceName, ready.count(serviceName) - visitedJobs, ranks.next().job, now)
+            }
             // Retries may use more than their part of the capacity while no other job waits for it.
             if (blockedJobs == 0) deferredRetries.forEach { start(it.job, isSurplus = it.surplusAccount != null) }
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/logging/Event.kt
@@ -67,6 +67,7 @@
     JOB_HOPELESS(7015, Level.WARN),
     QUEUE_UNKNOWN(7017, Level.WARN),
     JOB_SERVICE_CHANGED(7018, Level.INFO),
+    JOBS_UNREACHED(7019, Level.WARN),
     RUN_ORDERED(7020, Level.INFO),
     RUN_ENDED(7021, Level.INFO),
     RUN_LOST(7022, Level.WARN),
