Jobs behind a hundred jobs without room start when they fit

Cause: a scheduling pass over a service ended after 100 jobs without room, and each pass began at the same ones.

Fix: behind the first 100 a pass looks for jobs that fit in an index of demands, passing over chunks that cannot; a search that reaches its bound goes on in the next pass where it ended. Every waiting job is examined in turn, so none is hidden for good, whatever ends a pass.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -170,7 +170,7 @@
         }
         metrics.gauge(
             "verbenagauge_unreached_jobs",
-            "Waiting jobs that the last scheduling pass of the owner did not look at",
+            "Waiting jobs that the last thorough scheduling pass of the owner left to the next one",
         ) {
             ownership.unreachedJobs().toDouble()
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/FreeCapacity.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/FreeCapacity.kt
@@ -6,9 +6,12 @@
 /**
  * Pareto-optimal free capacities of [workers] during one pass, in which free capacity only shrinks. Shows in a few
  * comparisons that a task fits on no worker, which holds for most tasks of a long queue.
+ *
+ * @param capacityOf capacity of a worker that tasks may use; null if none may start there.
  */
 internal class FreeCapacity(
     private val workers: List<WorkerEntry>,
+    private val capacityOf: (WorkerEntry) -> Amount? = { it.free },
 ) {
     // Null until a task has not fitted; computed only then, since most passes end before.
     private var largest: List<Amount>? = null
@@ -19,24 +22,19 @@
     }
 
     /** Returns false if a task of [step] fits on no worker for certain, and true if it may fit. */
-    fun mayFit(step: StepSpecification): Boolean {
-        val capacities = largest ?: return true
-        return capacities.any { capacity ->
-            (step.isFiller || step.amount.cpuMillis <= capacity.cpuMillis) &&
-                step.amount.memoryMegabytes <= capacity.memoryMegabytes &&
-                step.amount.gpus <= capacity.gpus
-        }
-    }
+    fun mayFit(step: StepSpecification): Boolean = mayFit(step.demand)
+
+    /** Returns false if a task with the demand [demand] fits on no worker for certain, and true if it may fit. */
+    fun mayFit(demand: Amount): Boolean = largest?.any { demand.fitsInto(it) } ?: true
 
     private fun largest(): List<Amount> {
         val found = ArrayList<Amount>()
-        workers.map { it.free }.sortedWith(largestFirst).forEach { free ->
-            if (found.none { free.fitsInto(it) }) found += free
+        workers.forEach { worker ->
+            val capacity = capacityOf(worker) ?: return@forEach
+            if (found.any { capacity.fitsInto(it) }) return@forEach
+            found.removeIf { it.fitsInto(capacity) }
+            found += capacity
         }
         return found
     }
-
-    private companion object {
-        val largestFirst = compareByDescending<Amount> { it.cpuMillis }.thenByDescending { it.memoryMegabytes }
-    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -95,6 +95,9 @@
     /** Number of tasks that may start. */
     var readyCount = 0
         private set
+
+    /** Whether any of its tasks is ready and, in a job of which one task is retried, belongs to the step of that task. */
+    val mayStartAny: Boolean get() = readyCount > 0 && occurrence.job.retry.let { it == null || it.step === this }
     var isOpen = false
     var tickets: Tickets? = null
     val isDone: Boolean get() = doneCount == tasks.size
@@ -119,7 +122,7 @@
     ) {
         val change = (if (isReady) 1 else 0) - (if (wasReady) 1 else 0)
         readyCount += change
-        occurrence.job.readyCount += change
+        occurrence.job.readyTasksChanged(change)
         occurrence.job.listener?.tasksChanged(this, change)
     }
 }
@@ -196,12 +199,17 @@
 
     /** Number of tasks that may start. */
     var readyCount = 0
+        private set
 
     /** Whether the job is within the share of its account or surplus. */
     var share = ShareStatus.WITHIN_SHARE
 
     /** The only task that is retried while the job is suspected of being hopeless; null if it is not suspected. */
     var retry: TaskEntry? = null
+        set(value) {
+            field = value
+            knownLeastDemand = null
+        }
 
     /** Whether a worker has ever shown a run; stays true when the job waits again. */
     var hasStarted = false
@@ -250,6 +258,31 @@
             ?.tasks
             ?.getOrNull(id.index)
 
+    // Null when it has to be computed again.
+    private var knownLeastDemand: Amount? = null
+
+    /** Records that tasks of the job have become ready or are no longer ready. */
+    fun readyTasksChanged(change: Int) {
+        readyCount += change
+        knownLeastDemand = null
+    }
+
+    /**
+     * Least free capacity that a worker needs for any ready task of the job; more than any worker has if all of them
+     * wait for a retry.
+     */
+    val leastDemand: Amount get() = knownLeastDemand ?: computeLeastDemand().also { knownLeastDemand = it }
+
+    private fun computeLeastDemand(): Amount {
+        var least = unlimitedDemand
+        open.values.forEach { occurrence ->
+            occurrence.steps.forEach { step ->
+                if (step.mayStartAny) least = least.atMost(step.specification.demand)
+            }
+        }
+        return least
+    }
+
     /** Returns the progress to store. */
     fun progress(): ProgressRecord {
         val done = ArrayList<String>()
@@ -267,6 +300,14 @@
     }
 }
 
+private val unlimitedDemand = Amount(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE)
+
+/**
+ * Free capacity that a worker needs for a task of the step. A filler fits beside any use of processor time, since it
+ * uses only what others leave idle.
+ */
+internal val StepSpecification.demand: Amount get() = if (isFiller) amount.copy(cpuMillis = Long.MIN_VALUE) else amount
+
 /** State of one run on its worker. */
 internal enum class RunPhase {
     /** Ordered but not confirmed; it may or may not be running. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -470,7 +470,7 @@
         gangGuard.check(earlierRuns, now)
         accountReport.logIfDue(now)
         if (mayStart) {
-            scheduler.schedule(now)
+            scheduler.schedule(now, isThorough = true)
             scheduler.runCopies(now)
             rescue?.check(now)
             leavingWorkers.check(now)
@@ -480,7 +480,7 @@
 
     /** Schedules after the events since the last decision and returns the actions; makes no time-dependent checks. */
     fun react(now: Long): List<EngineAction> {
-        if (mayStart) scheduler.schedule(now)
+        if (mayStart) scheduler.schedule(now, isThorough = false)
         return state.takeActions()
     }
 
@@ -539,7 +539,7 @@
     /** Number of ready tasks that wait until the runs of earlier owners are known. */
     val tasksWaitingForEarlierRuns: Long get() = waits.tasksWaitingForEarlierRuns
 
-    /** Number of waiting jobs that the last scheduling pass did not look at. */
+    /** Number of waiting jobs that the last thorough scheduling pass left to the next one. */
     val unreachedJobs: Int get() = unreached.count
 
     /** Number of jobs of which a part is due but not held yet, since the engine holds too many tasks. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReadyJobs.kt
@@ -2,7 +2,6 @@
 
 import org.verbenagauge.entry.jobs.model.Amount
 import java.util.PriorityQueue
-import java.util.TreeSet
 
 /**
  * Index of the jobs with ready tasks, by service and in the order in which they start. A change of a job or of its
@@ -53,8 +52,11 @@
         now: Long,
     ): Iterable<Rank> = readyByService[serviceName]?.inOrder(now) ?: emptyList()
 
-    /** Returns the number of jobs of [serviceName] that waited at the last call of [inOrder]. */
-    fun count(serviceName: String): Int = readyByService[serviceName]?.count ?: 0
+    /** Begins a pass over the jobs of [serviceName] that wait at [now]. */
+    fun beginPass(
+        serviceName: String,
+        now: Long,
+    ): ReadyPass? = readyByService[serviceName]?.beginPass(now)
 
     /** Returns the capacity that ready tasks of [serviceName] need, by team. */
     fun waitingByTeam(serviceName: String): Map<String, Amount> = readyByService[serviceName]?.waitingByTeam.orEmpty()
@@ -73,8 +75,9 @@
 
     val waitingByTeam = HashMap<String, Amount>()
     private val rankedByJob = HashMap<JobEntry, RankedJob>()
-    private val ranks = TreeSet<Rank>()
+    private val ranks = RankIndex()
     private val surplus = SurplusJobs(accounts)
+    private val scan = ReadyScan(ranks, surplus)
     private val expiring = PriorityQueue<Rank>(compareBy { it.validUntilMillis })
     private val changed = LinkedHashSet<JobEntry>()
     private val versionByQueue = HashMap<String, Int>()
@@ -83,8 +86,6 @@
     private val outdated = ArrayDeque<JobEntry>()
     private var isRefreshPending = false
 
-    val count: Int get() = rankedByJob.size
-
     val isEmpty: Boolean get() = rankedByJob.isEmpty() && changed.none { it.readyCount > 0 }
 
     fun changed(
@@ -118,6 +119,16 @@
     }
 
     fun inOrder(now: Long): Iterable<Rank> {
+        val pass = beginPass(now)
+        return generateSequence(pass::next).asIterable()
+    }
+
+    fun beginPass(now: Long): ReadyPass {
+        update(now)
+        return ReadyPass(ranks, surplus, scan)
+    }
+
+    private fun update(now: Long) {
         queueOutdatedRanks()
         while (expiring.isNotEmpty() && expiring.peek().validUntilMillis < now) {
             val expired = expiring.poll()
@@ -125,7 +136,6 @@
         }
         changed.forEach { updateRank(it, now) }
         changed.clear()
-        return if (surplus.isEmpty) ranks else (ranks.asSequence() + surplus.inOrder()).asIterable()
     }
 
     // Updates a limited number of ranks in each pass, so that a long queue does not delay a decision.
@@ -136,7 +146,7 @@
         if (isRefreshPending && outdated.isEmpty()) {
             isRefreshPending = false
             ranks.mapTo(outdated) { it.job }
-            surplus.all().mapTo(outdated) { it.job }
+            surplus.indexes().forEach { index -> index.mapTo(outdated) { it.job } }
         }
         var remaining = MAX_RANK_REFRESHES_PER_PASS
         while (remaining > 0) {
@@ -150,7 +160,7 @@
 
     private fun removeRank(job: JobEntry) {
         val rank = rankedByJob.remove(job)?.rank ?: return
-        if (rank.surplusAccount == null) ranks -= rank else surplus.remove(rank.surplusAccount, rank)
+        if (rank.surplusAccount == null) ranks.remove(rank) else surplus.remove(rank.surplusAccount, rank)
     }
 
     private fun updateRank(
@@ -162,7 +172,8 @@
         val version = versionByQueue.getOrPut(job.queue.name) { times.version(job.queue.name) }
         val rank = order.rank(job, now)
         rankedByJob[job] = RankedJob(rank, version)
-        if (rank.surplusAccount == null) ranks += rank else surplus.add(rank.surplusAccount, rank)
+        val demand = job.leastDemand
+        if (rank.surplusAccount == null) ranks.add(rank, demand) else surplus.add(rank.surplusAccount, rank, demand)
         if (rank.validUntilMillis != Long.MAX_VALUE) expiring += rank
     }
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -20,14 +20,20 @@
     private val waits: StartWaits,
     private val unreached: UnreachedJobs,
 ) {
-    /** Starts the ready tasks that fit on workers at [now]. */
-    fun schedule(now: Long) {
+    /**
+     * Starts the ready tasks that fit on workers at [now]. Only with [isThorough], jobs behind many that find no room
+     * are examined as well.
+     */
+    fun schedule(
+        now: Long,
+        isThorough: Boolean,
+    ) {
         val configuration = state.configuration ?: return
         state.missingRoomByService.clear()
         state.unsettledRoomByService.clear()
         waits.beginPass()
-        unreached.beginPass()
-        ready.services.forEach { ServicePass(it, configuration, now).run() }
+        if (isThorough) unreached.beginPass()
+        ready.services.forEach { ServicePass(it, configuration, now).run(isThorough) }
     }
 
     /**
@@ -102,37 +108,63 @@
         private val visitedByTeam = HashMap<String, Amount>()
         private val reserved = ReservedWorkers(workers)
         private var mayRetry = true
+        private val deferredRetries = ArrayList<Rank>()
         private val surplusWorkersByQueue = HashMap<String, List<WorkerEntry>>()
         private val surplusCapacityByQueue = HashMap<String, FreeCapacity>()
 
-        fun run() {
+        fun run(isThorough: Boolean) {
+            val pass = ready.beginPass(serviceName, now) ?: return
             var blockedJobs = 0
-            val deferredRetries = ArrayList<Rank>()
-            var visitedJobs = 0
-            val ranks = ready.inOrder(serviceName, now).iterator()
-            while (ranks.hasNext()) {
-                val rank = ranks.next()
-                val job = rank.job
-                visitedJobs++
-                if (job.mayHaveEarlierRuns && !areRunsKnown(job)) {
-                    recordWaiting(job)
-                    continue
-                }
-                if (job.retry != null && !mayRetry(job)) {
-                    deferredRetries += rank
-                    recordWait(job, StartWaitReason.OTHER_TASK) { "one task of the job is retried at a time" }
-                    continue
-                }
-                if (!start(job, isSurplus = rank.surplusAccount != null) && ++blockedJobs >= MAX_BLOCKED_JOBS) break
+            while (blockedJobs < MAX_BLOCKED_JOBS) {
+                if (!visit(pass.next() ?: break)) blockedJobs++
             }
-            if (blockedJobs >= MAX_BLOCKED_JOBS) recordUnvisitedJobs()
-            if (ranks.hasNext()) {
-                unreached.record(serviceName, ready.count(serviceName) - visitedJobs, ranks.next().job, now)
+            if (blockedJobs >= MAX_BLOCKED_JOBS) {
+                if (isThorough) backfill(pass)
+                recordUnvisitedJobs()
+            } else {
+                pass.endScan()
             }
             // Retries may use more than their part of the capacity while no other job waits for it.
             if (blockedJobs == 0) deferredRetries.forEach { start(it.job, isSurplus = it.surplusAccount != null) }
         }
 
+        // Visits the jobs behind those that found no room, however many these are, as far as they may fit.
+        private fun backfill(pass: ReadyPass) {
+            val budget = BackfillBudget()
+            val filter = BackfillFilter(workers, state.quota, configuration, budget)
+            val surplusFilter by lazy(LazyThreadSafetyMode.NONE) {
+                BackfillFilter(reserved.unreserved(workers), state.quota, configuration, budget)
+            }
+            while (budget.isLeft) {
+                val rank = pass.scan(filter) { surplusFilter } ?: break
+                val readyCount = rank.job.readyCount
+                val hasCapacity = visit(rank)
+                val hasStarted = rank.job.readyCount < readyCount
+                if (!hasStarted) budget.takeVisit()
+                if (hasStarted || !hasCapacity) {
+                    filter.refresh()
+                    if (rank.surplusAccount != null) surplusFilter.refresh()
+                }
+            }
+            val first = pass.firstRemaining ?: return pass.endScan()
+            unreached.record(serviceName, pass.remaining, first, now)
+        }
+
+        // Returns false if no worker has capacity for a task of the job.
+        private fun visit(rank: Rank): Boolean {
+            val job = rank.job
+            if (job.mayHaveEarlierRuns && !areRunsKnown(job)) {
+                recordWaiting(job)
+                return true
+            }
+            if (job.retry != null && !mayRetry(job)) {
+                deferredRetries += rank
+                recordWait(job, StartWaitReason.OTHER_TASK) { "one task of the job is retried at a time" }
+                return true
+            }
+            return start(job, isSurplus = rank.surplusAccount != null)
+        }
+
         // Its tasks may start in a moment, so the pool has to keep its machines and grow for them now.
         private fun recordWaiting(job: JobEntry) {
             val limit = configuration.teams[job.record.teamName]?.limit
@@ -180,7 +212,7 @@
             val limit = configuration.teams[teamName]?.limit
             var hasCapacity = true
             job.open.values.forEach { occurrence ->
-                occurrence.steps.filter { it.readyCount > 0 && doubts.mayStartAny(it) }.forEach { step ->
+                occurrence.steps.filter { it.mayStartAny }.forEach { step ->
                     visitedByTeam.merge(teamName, step.room(step.readyCount), Amount::plus)
                     val pass = StepPass(step, candidates, limit, now, freeCapacity)
                     pass.run()
@@ -425,8 +457,7 @@
         // The advisor's response time grows with the number of workers in the request.
         const val MAX_ADVISED_WORKERS = 30
 
-        // A pass continues behind jobs that do not fit, since smaller ones can use the remaining capacity; 100 jobs
-        // fill any pool.
+        // A pass visits so many jobs without room in order; behind them only those that may fit.
         const val MAX_BLOCKED_JOBS = 100
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SuspectJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SuspectJobs.kt
@@ -115,12 +115,6 @@
         return task === retry || (task.step === retry.step && task.step.specification.isGang)
     }
 
-    /** Whether any task of [step] may start, as [mayStart] tells it for single tasks. */
-    fun mayStartAny(step: StepEntry): Boolean {
-        val retry = step.occurrence.job.retry ?: return true
-        return step === retry.step
-    }
-
     /** Whether retries of suspect jobs use less than their share of the capacity of [workers] of [serviceName]. */
     fun hasRetryCapacity(
         serviceName: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/UnreachedJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/UnreachedJobs.kt
@@ -1,7 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
 /**
- * Reports waiting jobs that a pass of the [Scheduler] did not look at. It only observes the scheduler.
+ * Reports waiting jobs that the last thorough pass of the [Scheduler] left to the next one. It only observes the scheduler.
  *
  * A service gets a line once its passes have left jobs out for a second, and another one every ten seconds while they
  * do.
@@ -19,10 +19,10 @@
     private val services = HashMap<String, Service>()
     private var pass = 0L
 
-    /** Number of waiting jobs that the last pass did not look at. */
+    /** Number of waiting jobs that the last thorough pass left to the next one. */
     val count: Int get() = services.values.filter { it.pass == pass }.sumOf { it.jobs }
 
-    /** Begins a pass over all services. */
+    /** Begins a thorough pass over all services. */
     fun beginPass() {
         services.values.removeIf { it.pass != pass }
         pass++
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -157,15 +157,17 @@
                 free.copy(cpuMillis = free.cpuMillis - withheldCpuMillis)
             }
 
+    /** Returns the capacity that a new task can use, or null if none may start here. */
+    fun room(isLasting: Boolean): Amount? =
+        when {
+            isQuarantined -> null
+            // A lasting task is unavailable until it starts, and keeps running long after its worker is warm.
+            isLasting -> free
+            else -> usable
+        }
+
     /** Whether a task of [step] fits into the usable capacity. */
-    fun hasRoomFor(step: StepSpecification): Boolean {
-        if (isQuarantined) return false
-        // A lasting task is unavailable until it starts, and keeps running long after its worker is warm.
-        val room = if (step.isLasting) free else usable
-        return (step.isFiller || step.amount.cpuMillis <= room.cpuMillis) &&
-            step.amount.memoryMegabytes <= room.memoryMegabytes &&
-            step.amount.gpus <= room.gpus
-    }
+    fun hasRoomFor(step: StepSpecification): Boolean = room(step.isLasting)?.let(step.demand::fitsInto) ?: false
 
     fun updateListed(worker: ListedWorker) {
         free += worker.capacity - listed.capacity
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -72,7 +72,7 @@
     /** Number of ready tasks that wait for runs of earlier owners; 0 while this entry is not the owner. */
     fun tasksWaitingForEarlierRuns(): Long = engine?.tasksWaitingForEarlierRuns ?: 0
 
-    /** Number of waiting jobs that the last scheduling pass left out; 0 while this entry is not the owner. */
+    /** Number of waiting jobs that the last thorough scheduling pass left to the next one; 0 while this entry is not the owner. */
     fun unreachedJobs(): Int = engine?.unreachedJobs ?: 0
 
     /** Number of jobs of which a part is due but not held; 0 while this entry is not the owner. */
