Surplus starts beside jobs within a share that wait for good

Callers of an account beyond its weight saw accepted jobs stay queued while workers had room.

ReservedWorkers keeps workers from surplus for jobs within a share that fit there once present runs end. It counted lasting runs among these, and a job behind runs of minutes held its workers for as long.

Fix: what lasting tasks occupy is no longer expected to become free. Tasks that have waited for over 4 s reserve in every second period of 2 s, the same for all, so that surplus gets the free room in between.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReservedWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ReservedWorkers.kt
@@ -6,6 +6,9 @@
  * Workers that surplus may not use in one pass over [workers], because tasks within the share of their account did not
  * fit: those with the most free capacity that are large enough once their present runs end. Otherwise a flood of small
  * tasks would fill every gap before a large job of a small account fits.
+ *
+ * Tasks that wait for longer than [ALWAYS_RESERVED_MILLIS] reserve in every second period only, the same for all, so
+ * that surplus gets the free room in between.
  */
 internal class ReservedWorkers(
     private val workers: List<WorkerEntry>,
@@ -18,11 +21,14 @@
     private val demands = ArrayList<Demand>()
     private val reserved: Set<WorkerEntry> by lazy(LazyThreadSafetyMode.NONE, ::choose)
 
-    /** Records that [tasks] tasks of [step] did not fit on any worker. */
+    /** Records that [tasks] tasks of [step], ready since [readySinceMillis], did not fit on any worker at [now]. */
     fun reserveFor(
         step: StepSpecification,
         tasks: Int,
+        readySinceMillis: Long,
+        now: Long,
     ) {
+        if (now - readySinceMillis > ALWAYS_RESERVED_MILLIS && now / PERIOD_MILLIS % 2 == 0L) return
         demands += Demand(step, tasks)
     }
 
@@ -48,21 +54,31 @@
         return chosen
     }
 
-    // Returns how many tasks of [step] fit on the worker while nothing else runs there.
+    // Returns how many tasks of [step] fit on the worker while nothing but its lasting tasks runs there.
     private fun WorkerEntry.taskCapacity(step: StepSpecification): Int {
         if (step.requiredLabel.isNotEmpty() && step.requiredLabel !in listed.labels) return 0
         val amount = step.amount
+        // Lasting runs do not end by themselves, so no reservation frees their room.
+        val capacity = listed.capacity - lastingRoom
         val most = if (step.maxPerWorker == 0) Int.MAX_VALUE.toLong() else step.maxPerWorker.toLong()
         return minOf(
             most,
-            timesFitting(if (step.isFiller) 0 else amount.cpuMillis, listed.capacity.cpuMillis),
-            timesFitting(amount.memoryMegabytes, listed.capacity.memoryMegabytes),
-            timesFitting(amount.gpus, listed.capacity.gpus),
+            timesFitting(if (step.isFiller) 0 else amount.cpuMillis, capacity.cpuMillis),
+            timesFitting(amount.memoryMegabytes, capacity.memoryMegabytes),
+            timesFitting(amount.gpus, capacity.gpus),
         ).toInt()
     }
 
     private fun timesFitting(
         part: Long,
         capacity: Long,
-    ) = if (part == 0L) Int.MAX_VALUE.toLong() else capacity / part
+    ) = if (part == 0L) Int.MAX_VALUE.toLong() else maxOf(0, capacity) / part
+
+    private companion object {
+        // Longer than most tasks run.
+        const val ALWAYS_RESERVED_MILLIS = 4_000L
+
+        // Shorter than the time for which callers may see a job with room wait.
+        const val PERIOD_MILLIS = 2_000L
+    }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -230,7 +230,9 @@
         ) {
             if (!state.quota.allows(teamName, step.specification.amount, limit)) return
             val startsOneAtATime = step.occurrence.job.retry != null && !step.specification.isGang
-            reserved.reserveFor(step.specification, if (startsOneAtATime) 1 else step.readyCount)
+            val readySinceMillis = step.tasks.first { it.phase == TaskPhase.READY }.readySinceMillis
+            val tasks = if (startsOneAtATime) 1 else step.readyCount
+            reserved.reserveFor(step.specification, tasks, readySinceMillis, now)
         }
 
         // Jobs that the pass did not reach need capacity as well, up to the limits of their teams.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -117,6 +117,10 @@
 
     private var unknownSizeCount = 0
 
+    /** Room that runs of lasting tasks occupy. */
+    var lastingRoom = Amount()
+        private set
+
     /** Number of runs of lasting tasks. */
     var lastingCount = 0
         private set
@@ -140,7 +144,10 @@
         change: Int,
     ) {
         if (run.reservesWholeWorker) unknownSizeCount += change
-        if (run.specification.isLasting) lastingCount += change
+        if (run.specification.isLasting) {
+            lastingCount += change
+            lastingRoom = if (change > 0) lastingRoom + run.room else lastingRoom - run.room
+        }
     }
 
     val coldness = WarmUpState()
