--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobRuntime.kt
@@ -174,6 +174,12 @@
         ) {
             ownership.unreachedJobs().toDouble()
         }
+        metrics.gauge(
+            "verbenagauge_steps_awaiting_advice",
+            "Steps that wait for permission from the advisor to run on a worker",
+        ) {
+            ownership.stepsAwaitingAdvice().toDouble()
+        }
         metrics.gauge(
             "verbenagauge_jobs_with_waiting_occurrences",
             "Jobs of which a part is due but not held by the owner, since it holds too many tasks",
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/EngineAction.kt
@@ -71,6 +71,7 @@
     ALL_ZONES_EVACUATED,
     RUN_RESCUED,
     START_WAITS,
+    ADVICE_AWAITED,
     JOBS_UNREACHED,
     RUN_MOVED_OFF,
     RUNS_KNOWN,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -51,8 +51,20 @@
     private val earlierRuns = EarlierRuns(state)
     private val waits = StartWaits(state)
     private val unreached = UnreachedJobs(state)
+    private val adviceReport = AdviceReport(state)
     private val scheduler =
-        Scheduler(state, runs, ready, placement, copies ?: copyPolicy(state), earlierRuns, doubts, waits, unreached)
+        Scheduler(
+            state,
+            runs,
+            ready,
+            placement,
+            copies ?: copyPolicy(state),
+            earlierRuns,
+            doubts,
+            waits,
+            unreached,
+            adviceReport,
+        )
     private val stuckGuard = StuckGuard(state, runs, health)
     private val rescue = StragglerRescue(state, runs).takeIf { limits.load.stragglerRescue }
     private val paceGuard = PaceGuard(state)
@@ -542,6 +554,9 @@
     /** Number of waiting jobs that the last thorough scheduling pass left to the next one. */
     val unreachedJobs: Int get() = unreached.count
 
+    /** Number of steps that wait for permission from the advisor. */
+    val stepsAwaitingAdvice: Int get() = adviceReport.waitingSteps
+
     /** Number of jobs of which a part is due but not held yet, since the engine holds too many tasks. */
     val jobsWithWaitingOccurrences: Int get() = registry.jobsWithWaitingOccurrences
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -19,6 +19,7 @@
     private val doubts: SuspectJobs,
     private val waits: StartWaits,
     private val unreached: UnreachedJobs,
+    private val adviceReport: AdviceReport,
 ) {
     /**
      * Starts the ready tasks that fit on workers at [now]. Only with [isThorough], jobs behind many that find no room
@@ -32,6 +33,7 @@
         state.missingRoomByService.clear()
         state.unsettledRoomByService.clear()
         waits.beginPass()
+        adviceReport.beginPass()
         if (isThorough) unreached.beginPass()
         ready.services.forEach { ServicePass(it, configuration, now).run(isThorough) }
     }
@@ -448,6 +450,10 @@
                 step.tickets = Tickets(now, null, 0)
                 val askedWorkers = workers.sortedByDescending { it.free.cpuMillis }.take(MAX_ADVISED_WORKERS)
                 state.emit(EngineAction.AskAdvice(step.key, askedWorkers.map { it.id }))
+                adviceReport.record(step, now) {
+                    val last = tickets?.byWorker?.let { "allowed ${it.size}" } ?: "is missing"
+                    "asked for ${askedWorkers.size} of ${workers.size} workers, the last answer $last"
+                }
             }
             return null
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/EngineEvents.kt
@@ -22,6 +22,7 @@
         NoteKind.RUN_RESCUED -> Event.RUN_RESCUED
         NoteKind.START_WAITS -> Event.START_WAITS
         NoteKind.JOBS_UNREACHED -> Event.JOBS_UNREACHED
+        NoteKind.ADVICE_AWAITED -> Event.ADVICE_AWAITED
         NoteKind.RUN_MOVED_OFF -> Event.RUN_MOVED_OFF
         NoteKind.RUNS_KNOWN -> Event.RUNS_KNOWN
         NoteKind.WORKER_HEARD -> Event.WORKER_HEARD
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/Ownership.kt
@@ -75,6 +75,9 @@
     /** Number of waiting jobs that the last thorough scheduling pass left to the next one; 0 while this entry is not the owner. */
     fun unreachedJobs(): Int = engine?.unreachedJobs ?: 0
 
+    /** Number of steps that wait for permission from the advisor; 0 while this entry is not the owner. */
+    fun stepsAwaitingAdvice(): Int = engine?.stepsAwaitingAdvice ?: 0
+
     /** Number of jobs of which a part is due but not held; 0 while this entry is not the owner. */
     fun jobsWithWaitingOccurrences(): Int = engine?.jobsWithWaitingOccurrences ?: 0
 
