The advisor is asked for every worker that has room

Cause: each call asked for the 30 emptiest workers, and an answer that allowed none was followed by the same call. The rest of the pool was never asked for.

Fix: what is known of a worker is kept for its life, so that each call asks for workers that are not known yet or whose ticket has expired, and the whole pool is reached. Tickets of less than half a second count as valid too.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -99,7 +99,16 @@
     /** Whether any of its tasks is ready and, in a job of which one task is retried, belongs to the step of that task. */
     val mayStartAny: Boolean get() = readyCount > 0 && occurrence.job.retry.let { it == null || it.step === this }
     var isOpen = false
-    var tickets: Tickets? = null
+
+    /** What the advisor has told about the step. */
+    var advice = StepAdvice()
+        private set
+
+    /** Discards what the advisor has told about the step. */
+    fun forgetAdvice() {
+        advice = StepAdvice()
+    }
+
     val isDone: Boolean get() = doneCount == tasks.size
     val key: String get() = "${occurrence.job.id}.${occurrence.number}.$index"
 
@@ -139,13 +148,6 @@
     fun started(job: JobEntry)
 }
 
-/** Tickets from the advisor for one step, by worker ID; [byWorker] is null while the answer is awaited. */
-internal class Tickets(
-    val askedAtMillis: Long,
-    val byWorker: Map<String, String>?,
-    val validUntilMillis: Long,
-)
-
 /** One occurrence of a job; a scheduled job has one for each repetition. */
 internal class OccurrenceEntry(
     val job: JobEntry,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -52,6 +52,7 @@
     private val waits = StartWaits(state)
     private val unreached = UnreachedJobs(state)
     private val adviceReport = AdviceReport(state)
+    private val advice = AdviceQueue(state)
     private val scheduler =
         Scheduler(
             state,
@@ -63,6 +64,7 @@
             doubts,
             waits,
             unreached,
+            advice,
             adviceReport,
         )
     private val stuckGuard = StuckGuard(state, runs, health)
@@ -430,21 +432,12 @@
         sentAtMillis: Long = now,
     ): Boolean = answers.applyStopOutcome(workerId, taskId, runId, outcome, now, sentAtMillis)
 
-    /** Stores the advisor's [tickets] for the step [stepKey], by worker ID; null if the advisor did not answer. */
+    /** Applies the advisor's [tickets] for the step [stepKey], by worker ID; null if the advisor did not answer. */
     fun handleAdvice(
         stepKey: String,
         tickets: Map<String, String>?,
         now: Long,
-    ) {
-        val jobId = stepKey.substringBefore('.')
-        val job = state.jobs[jobId] ?: return
-        val step =
-            job.open.values
-                .flatMap { it.steps }
-                .firstOrNull { it.key == stepKey } ?: return
-        val validMillis = job.queue.advice?.validityMillis ?: 0
-        step.tickets = tickets?.let { Tickets(now, it, now + validMillis - TICKET_MARGIN_MILLIS) }
-    }
+    ) = advice.handleAnswer(stepKey, tickets, now)
 
     /** Records that all processed ends up to the [marks] are stored. */
     fun markEndsStored(marks: List<EndWatermark>) {
@@ -567,8 +560,6 @@
     fun pendingByQueue(): Map<String, Int> = state.pending.byQueue()
 
     private companion object {
-        const val TICKET_MARGIN_MILLIS = 500L
-
         // Until the removal of the recorded end of its leases is stored, a worker is asked no more often than this.
         const val ROW_WAIT_MILLIS = 100L
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -87,7 +87,7 @@
         if (previous.serviceName != queue.serviceName) {
             job.open.values
                 .flatMap { it.steps }
-                .forEach { it.tickets = null }
+                .forEach { it.forgetAdvice() }
             val services = "from service '${previous.serviceName}' to '${queue.serviceName}'"
             state.note(NoteKind.JOB_SERVICE_CHANGED, job.id, "queue '${queue.name}' $services")
         }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
@@ -88,7 +88,13 @@
     ): Boolean {
         if (refusal == StartRefusal.FENCED) return false
         if (refusal == StartRefusal.UNHEALTHY) health.recordUnhealthyRefusal(worker, now)
-        if (refusal == StartRefusal.TICKET) runs.taskOf(run.taskId)?.step?.tickets = null
+        if (refusal == StartRefusal.TICKET) {
+            runs
+                .taskOf(run.taskId)
+                ?.step
+                ?.advice
+                ?.discardTicket(worker)
+        }
         when {
             // The run started and has ended, which the next listing shows, or it was stopped before the order arrived.
             refusal == StartRefusal.OLD_RUN -> {
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Placement.kt
@@ -57,17 +57,9 @@
         if (!worker.hasRoomFor(step)) return false
         if (step.requiredLabel.isNotEmpty() && step.requiredLabel !in worker.listed.labels) return false
         if (task.id in worker.runs) return false
-        return step.maxPerWorker == 0 || tasksOfStepOn(task, worker) < step.maxPerWorker
+        return step.maxPerWorker == 0 || worker.countRunsOf(task.step) < step.maxPerWorker
     }
 
-    private fun tasksOfStepOn(
-        task: TaskEntry,
-        worker: WorkerEntry,
-    ): Int =
-        worker.runs.keys.count {
-            it.jobId == task.id.jobId && it.occurrence == task.id.occurrence && it.step == task.id.step
-        }
-
     private fun preference(task: TaskEntry): Comparator<WorkerEntry> {
         val step = task.step.specification
         val racks = if (step.prefersOneRack) racksOf(task.step) else emptySet()
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -19,6 +19,7 @@
     private val doubts: SuspectJobs,
     private val waits: StartWaits,
     private val unreached: UnreachedJobs,
+    private val advice: AdviceQueue,
     private val adviceReport: AdviceReport,
 ) {
     /**
@@ -36,6 +37,7 @@
         adviceReport.beginPass()
         if (isThorough) unreached.beginPass()
         ready.services.forEach { ServicePass(it, configuration, now).run(isThorough) }
+        advice.send(now) { workersToAskFor(it, now) }
     }
 
     /**
@@ -95,6 +97,37 @@
                 !state.evacuatedZones.includes(it)
         }
 
+    // Workers of which the advisor has not told whether they may run the step take at least half of the places, so that
+    // each is asked for in the end.
+    private fun workersToAskFor(
+        step: StepEntry,
+        now: Long,
+    ): List<WorkerEntry> {
+        val queue = step.occurrence.job.queue
+        val (allowed, unknown) =
+            availableWorkers(queue.serviceName)
+                .recordedFor(queue.name)
+                .filter { isWorthAsking(step, it, now) }
+                .sortedByDescending { it.free.cpuMillis }
+                .partition { step.advice.isAllowed(it) }
+        val places = if (step.advice.knownCount == 0) AdviceQueue.FIRST_WORKERS else AdviceQueue.MAX_WORKERS
+        val again = allowed.take(maxOf(places / 2, places - unknown.size))
+        return again + unknown.take(places - again.size)
+    }
+
+    private fun isWorthAsking(
+        step: StepEntry,
+        worker: WorkerEntry,
+        now: Long,
+    ): Boolean {
+        val specification = step.specification
+        return !step.advice.isDenied(worker) &&
+            step.advice.ticket(worker, now) == null &&
+            worker.hasRoomFor(specification) &&
+            (specification.maxPerWorker == 0 || worker.countRunsOf(step) < specification.maxPerWorker) &&
+            (specification.requiredLabel.isEmpty() || specification.requiredLabel in worker.listed.labels)
+    }
+
     private fun List<WorkerEntry>.recordedFor(queueName: String) = filter { state.roster.ensureRecorded(it, queueName) }
 
     /** One pass over the waiting jobs of one service. */
@@ -265,7 +298,14 @@
             private set
 
         fun run() {
-            val allowed = if (job.queue.advice == null) workers else advisedWorkers() ?: return recordAdviceWait()
+            val allowed =
+                if (job.queue.advice ==
+                    null
+                ) {
+                    workers
+                } else {
+                    workers.filter { step.advice.ticket(it, now) != null }
+                }
             if (!freeCapacity.mayFit(specification)) {
                 isBlockedByCapacity = true
                 recordMissing(step.readyCount)
@@ -275,16 +315,27 @@
             val ready = step.tasks.filter { it.phase == TaskPhase.READY && doubts.mayStart(it) }
             val missing = if (specification.isGang) startGang(ready, allowed) else startEach(ready, allowed)
             if (missing == 0) return recordGangWait()
+            if (askAdvice()) return
             recordMissing(missing)
             isBlockedByCapacity = lacksCapacity && allowed.none { it.hasRoomFor(specification) }
             if (isBlockedByCapacity) freeCapacity.refresh()
             recordWait(allowed)
         }
 
-        private fun recordAdviceWait() {
-            waits.record(step, StartWaitReason.ADVICE, now) { "asked for ${workers.size} workers" }
+        // Asks the advisor for workers that may start more tasks of the step; returns whether an answer is due.
+        private fun askAdvice(): Boolean {
+            if (job.queue.advice == null) return false
+            if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return false
+            if (!advice.isAsking(step) && workers.none { isWorthAsking(step, it, now) }) return false
+            advice.add(step)
+            waits.record(step, StartWaitReason.ADVICE, now) { describeAdvice() }
+            adviceReport.record(step, now) { describeAdvice() }
+            return true
         }
 
+        private fun describeAdvice() =
+            "${workers.size} workers, ${step.advice.knownCount} asked for, ${step.advice.allowedCount} allowed"
+
         private fun recordGangWait() {
             if (!specification.isGang || step.readyCount == 0) return
             waits.record(step, StartWaitReason.OTHER_TASK, now) { "${step.readyCount} of ${step.tasks.size} ready" }
@@ -407,11 +458,7 @@
             task: TaskEntry,
         ) {
             val worker = state.workers.getValue(run.workerId)
-            val ticket =
-                step.tickets
-                    ?.byWorker
-                    ?.get(worker.id)
-                    .orEmpty()
+            val ticket = step.advice.ticket(worker, now).orEmpty()
             val leaseUntil = worker.estimatedClockMillis(now) + state.limits.leaseMillis
             worker.leaseUntilWorkerMillis = maxOf(worker.leaseUntilWorkerMillis, leaseUntil)
             val order =
@@ -439,32 +486,9 @@
             val waitMillis = earlierRuns.waitMillis(job, task.readySinceMillis)
             return if (waitMillis > 0) ", of which $waitMillis ms for earlier runs" else ""
         }
-
-        // Returns the workers that the advisor allows, or null while its answer is pending.
-        private fun advisedWorkers(): List<WorkerEntry>? {
-            val tickets = step.tickets
-            val byWorker = tickets?.byWorker
-            if (byWorker != null && now < tickets.validUntilMillis) return workers.filter { it.id in byWorker }
-            val isAsked = tickets != null && byWorker == null && now - tickets.askedAtMillis < ADVICE_RETRY_MILLIS
-            if (!isAsked) {
-                step.tickets = Tickets(now, null, 0)
-                val askedWorkers = workers.sortedByDescending { it.free.cpuMillis }.take(MAX_ADVISED_WORKERS)
-                state.emit(EngineAction.AskAdvice(step.key, askedWorkers.map { it.id }))
-                adviceReport.record(step, now) {
-                    val last = tickets?.byWorker?.let { "allowed ${it.size}" } ?: "is missing"
-                    "asked for ${askedWorkers.size} of ${workers.size} workers, the last answer $last"
-                }
-            }
-            return null
-        }
     }
 
     private companion object {
-        const val ADVICE_RETRY_MILLIS = 2_000L
-
-        // The advisor's response time grows with the number of workers in the request.
-        const val MAX_ADVISED_WORKERS = 30
-
         // A pass visits so many jobs without room in order; behind them only those that may fit.
         const val MAX_BLOCKED_JOBS = 100
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -176,6 +176,12 @@
     /** Whether a task of [step] fits into the usable capacity. */
     fun hasRoomFor(step: StepSpecification): Boolean = room(step.isLasting)?.let(step.demand::fitsInto) ?: false
 
+    /** Returns the number of tasks of [step] that run here. */
+    fun countRunsOf(step: StepEntry): Int =
+        runs.keys.count {
+            it.jobId == step.occurrence.job.id && it.occurrence == step.occurrence.number && it.step == step.index
+        }
+
     fun updateListed(worker: ListedWorker) {
         free += worker.capacity - listed.capacity
         listed = worker
