Calls to a slow advisor do not wait until their time is over

Callers would see jobs of queues with a slow advisor start late: the advisor answers one call at a time, and 8 calls on their way that take half a second each outlast the 2 s of a call, so that answers were thrown away and asked for again.

Fix: by the costs that the queue's settings name, no more calls are on their way than the advisor answers in one second, and a call names fewer workers if it would take longer by itself. Calls that fail together count as one failure.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/AdviceQueue.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/AdviceQueue.kt
@@ -1,5 +1,7 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.model.AdviceConfiguration
+
 /**
  * Questions to the advisor, which answers one at a time: steps are served in turn, the one that has waited for longest
  * first, with a bounded number of questions on their way. After a question without an answer none is sent for a while.
@@ -11,11 +13,14 @@
         val step: StepEntry,
         val asked: Map<String, Long>,
         val askedAtMillis: Long,
+        val expectedMillis: Double,
     )
 
     private val waiting = LinkedHashSet<StepEntry>()
     private val questions = HashMap<String, Question>()
+    private var expectedMillis = 0.0
     private var failures = 0
+    private var failedAtMillis = Long.MIN_VALUE / 2
     private var pausedUntilMillis = Long.MIN_VALUE / 2
 
     /** Whether a question about [step] waits or is on its way. */
@@ -27,29 +32,50 @@
     }
 
     /**
-     * Sends the questions that may be sent at [now]. [workersFor] returns the workers to ask for, at most
-     * [MAX_WORKERS].
+     * Sends the questions that may be sent at [now]. [workersFor] returns the workers to ask for, at most as many as it
+     * is given.
      */
     fun send(
         now: Long,
-        workersFor: (StepEntry) -> List<WorkerEntry>,
+        workersFor: (step: StepEntry, maxWorkers: Int) -> List<WorkerEntry>,
     ) {
         questions.values
             .filter { now - it.askedAtMillis >= ANSWER_TIMEOUT_MILLIS }
             .forEach { handleAnswer(it.step.key, tickets = null, now) }
         if (now < pausedUntilMillis) return
         val maxQuestions = if (failures == 0) MAX_QUESTIONS else 1
-        while (waiting.isNotEmpty() && questions.size < maxQuestions) {
+        while (waiting.isNotEmpty() && questions.size < maxQuestions && expectedMillis < MAX_EXPECTED_MILLIS) {
             val step = waiting.first()
             waiting -= step
-            val isOpen = step.readyCount > 0 && state.jobs[step.occurrence.job.id] === step.occurrence.job
-            val workers = if (isOpen) workersFor(step) else emptyList()
-            if (workers.isEmpty()) continue
-            questions[step.key] = Question(step, workers.associate { it.id to it.listed.bornUnixMillis }, now)
-            state.emit(EngineAction.AskAdvice(step.key, workers.map { it.id }))
+            ask(step, now, workersFor)
         }
     }
 
+    private fun ask(
+        step: StepEntry,
+        now: Long,
+        workersFor: (step: StepEntry, maxWorkers: Int) -> List<WorkerEntry>,
+    ) {
+        val job = step.occurrence.job
+        val costs = job.queue.advice ?: return
+        if (step.readyCount == 0 || state.jobs[job.id] !== job) return
+        val workers = workersFor(step, maxWorkers(step, costs))
+        if (workers.isEmpty()) return
+        val expected = costs.decisionMillis + costs.perWorkerMillis * workers.size
+        questions[step.key] = Question(step, workers.associate { it.id to it.listed.bornUnixMillis }, now, expected)
+        expectedMillis += expected
+        state.emit(EngineAction.AskAdvice(step.key, workers.map { it.id }))
+    }
+
+    private fun maxWorkers(
+        step: StepEntry,
+        costs: AdviceConfiguration,
+    ): Int {
+        val most = if (step.advice.knownCount == 0) FIRST_WORKERS else MAX_WORKERS
+        if (costs.perWorkerMillis <= 0) return most
+        return ((MAX_EXPECTED_MILLIS - costs.decisionMillis) / costs.perWorkerMillis).toInt().coerceIn(1, most)
+    }
+
     /** Applies the answer [tickets] to the question about [stepKey]; null if the advisor did not answer. */
     fun handleAnswer(
         stepKey: String,
@@ -57,7 +83,11 @@
         now: Long,
     ) {
         val question = questions.remove(stepKey) ?: return
+        expectedMillis = if (questions.isEmpty()) 0.0 else expectedMillis - question.expectedMillis
         if (tickets == null) {
+            // Questions sent before the last failure say nothing about the pause since.
+            if (question.askedAtMillis <= failedAtMillis) return
+            failedAtMillis = now
             val pauseMillis = minOf(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS shl minOf(failures, MAX_DOUBLINGS))
             failures++
             pausedUntilMillis = now + pauseMillis
@@ -72,21 +102,24 @@
         question.step.advice.record(question.asked, tickets, now + validityMillis - marginMillis)
     }
 
-    internal companion object {
-        /** Number of workers in the first question about a step; the advisor's response time grows with it. */
+    private companion object {
+        // The advisor's response time grows with the number of workers, and the first ones often suffice.
         const val FIRST_WORKERS = 30
 
-        /** Highest number of workers in a question; the advisor takes no more. */
+        // The advisor takes no more.
         const val MAX_WORKERS = 100
 
-        /** Highest number of questions on their way. The advisor answers in turn and rejects calls when 32 wait. */
+        // The advisor rejects calls when 32 wait.
         const val MAX_QUESTIONS = 8
 
+        // Questions are answered in turn, so those on their way take half the time limit of a call together.
+        const val MAX_EXPECTED_MILLIS = 1_000.0
+
         // Longer than a call.
-        private const val ANSWER_TIMEOUT_MILLIS = 3_000L
-        private const val FIRST_PAUSE_MILLIS = 100L
-        private const val MAX_PAUSE_MILLIS = 2_000L
-        private const val MAX_DOUBLINGS = 5
-        private const val TICKET_MARGIN_MILLIS = 500L
+        const val ANSWER_TIMEOUT_MILLIS = 3_000L
+        const val FIRST_PAUSE_MILLIS = 100L
+        const val MAX_PAUSE_MILLIS = 2_000L
+        const val MAX_DOUBLINGS = 5
+        const val TICKET_MARGIN_MILLIS = 500L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -37,7 +37,7 @@
         adviceReport.beginPass()
         if (isThorough) unreached.beginPass()
         ready.services.forEach { ServicePass(it, configuration, now).run(isThorough) }
-        advice.send(now) { workersToAskFor(it, now) }
+        advice.send(now) { step, maxWorkers -> workersToAskFor(step, maxWorkers, now) }
     }
 
     /**
@@ -101,6 +101,7 @@
     // each is asked for in the end.
     private fun workersToAskFor(
         step: StepEntry,
+        maxWorkers: Int,
         now: Long,
     ): List<WorkerEntry> {
         val queue = step.occurrence.job.queue
@@ -110,9 +111,8 @@
                 .filter { isWorthAsking(step, it, now) }
                 .sortedByDescending { it.free.cpuMillis }
                 .partition { step.advice.isAllowed(it) }
-        val places = if (step.advice.knownCount == 0) AdviceQueue.FIRST_WORKERS else AdviceQueue.MAX_WORKERS
-        val again = allowed.take(maxOf(places / 2, places - unknown.size))
-        return again + unknown.take(places - again.size)
+        val again = allowed.take(maxOf(maxWorkers / 2, maxWorkers - unknown.size))
+        return again + unknown.take(maxWorkers - again.size)
     }
 
     private fun isWorthAsking(
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/AdviceForWholePoolTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/AdviceForWholePoolTest.kt
@@ -17,7 +17,7 @@
 private const val START_MILLIS = 3_000L
 
 private const val PASS_MILLIS = 10L
-private const val DECISION_MILLIS = 20L
+private const val CALL_MILLIS = 2_000L
 private const val JOB = "0000000000000001"
 
 private data class PoolCase(
@@ -29,6 +29,8 @@
     val usedCpuMillis: (Int) -> Long = { 0 },
     val unansweredCalls: Int = 0,
     val validityMillis: Long = 3_000,
+    val decisionMillis: Long = 20,
+    val perWorkerMillis: Long = 1,
 )
 
 /** Engine with a pool whose workers do as they are told, and an advisor that answers calls in turn. */
@@ -38,6 +40,7 @@
     private class Call(
         val question: EngineAction.AskAdvice,
         val number: Int,
+        val askedAtMillis: Long,
         val answeredAtMillis: Long,
     )
 
@@ -47,6 +50,7 @@
     val started = LinkedHashSet<String>()
     val questions = ArrayList<EngineAction.AskAdvice>()
     var mostCalls = 0
+    var lateCalls = 0
 
     init {
         engine.configure(configuration())
@@ -58,7 +62,15 @@
         }
         decide(0)
         started.clear()
-        val queue = configuration().queues.single().copy(advice = AdviceConfiguration(1.0, 1.0, case.validityMillis))
+        val queue =
+            configuration().queues.single().copy(
+                advice =
+                    AdviceConfiguration(
+                        case.decisionMillis.toDouble(),
+                        case.perWorkerMillis.toDouble(),
+                        case.validityMillis,
+                    ),
+            )
         engine.configure(configuration().copy(version = 2, queues = listOf(queue)), now = 0)
     }
 
@@ -96,7 +108,9 @@
     ) {
         val question = call.question
         val allowed = question.workerIds.filter { case.isAllowed(it.drop(1).toInt()) }
-        val isAnswered = call.number > case.unansweredCalls
+        val isInTime = call.answeredAtMillis - call.askedAtMillis <= CALL_MILLIS
+        if (!isInTime) lateCalls++
+        val isAnswered = call.number > case.unansweredCalls && isInTime
         val tickets = allowed.associateWith { "${question.stepKey}-$it" }
         engine.handleAdvice(question.stepKey, tickets.takeIf { isAnswered }, now)
     }
@@ -106,7 +120,8 @@
         actions.filterIsInstance<EngineAction.AskAdvice>().forEach {
             questions += it
             val beginMillis = maxOf(now, calls.lastOrNull()?.answeredAtMillis ?: 0)
-            calls += Call(it, questions.size, beginMillis + DECISION_MILLIS + it.workerIds.size)
+            val durationMillis = case.decisionMillis + case.perWorkerMillis * it.workerIds.size
+            calls += Call(it, questions.size, now, beginMillis + durationMillis)
             mostCalls = maxOf(mostCalls, calls.size)
         }
         actions.starts().forEach { start ->
@@ -188,6 +203,16 @@
             pool.questions.flatMap { it.workerIds }.drop(40) shouldBe listOf("w3")
         }
 
+        // Guards against calls that wait for one another until their time is over, so that no step gets an answer.
+        test("with an advisor that is slow every step starts, and no call waits for too long") {
+            val slow = PoolCase("", 40, { it >= 30 }, decisionMillis = 200, perWorkerMillis = 10)
+            val pool = AdvisedPool(slow)
+            repeat(12) { pool.accept(it + 1, now = 0) }
+            pool.play(0L..12_000)
+            pool.lateCalls shouldBe 0
+            pool.started shouldHaveSize 12
+        }
+
         // Guards against an advisor that is called without a pause while it rejects calls.
         test("calls without an answer are repeated ever more slowly, one at a time") {
             val pool = AdvisedPool(PoolCase("", 40, { true }, unansweredCalls = Int.MAX_VALUE))
