Passes without surplus do not add up the capacity of all workers

A pass that reached the end of the jobs within shares added up the capacity of every worker, also when no surplus waited, and each step held maps for advice that most steps never get. Steps that wait for the advisor no longer count as waiting for it once they wait for something else.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/AdviceReport.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/AdviceReport.kt
@@ -7,17 +7,23 @@
 internal class AdviceReport(
     private val state: EngineState,
 ) {
-    private val dueAtMillis = HashMap<StepEntry, Long>()
+    private class Wait(
+        var dueAtMillis: Long,
+    ) {
+        var seenAtMillis = 0L
+    }
+
+    private val waitByStep = HashMap<StepEntry, Wait>()
     private var windowStartMillis = Long.MIN_VALUE / 2
     private var linesInWindow = 0
 
     /** Number of steps that wait for permission. */
-    val waitingSteps: Int get() = dueAtMillis.size
+    val waitingSteps: Int get() = waitByStep.size
 
-    /** Discards steps that no longer wait for a start. */
-    fun beginPass() {
-        if (dueAtMillis.isEmpty()) return
-        dueAtMillis.keys.removeIf { it.readyCount == 0 || state.jobs[it.occurrence.job.id] !== it.occurrence.job }
+    /** Begins a pass at [now]; discards steps that no longer wait for permission. */
+    fun beginPass(now: Long) {
+        if (waitByStep.isEmpty()) return
+        waitByStep.entries.removeIf { (step, wait) -> step.readyCount == 0 || now - wait.seenAtMillis > SEEN_MILLIS }
     }
 
     /** Records that [step] waits for permission at [now]; [detail] is called when a line is written. */
@@ -26,8 +32,10 @@
         now: Long,
         detail: () -> String,
     ) {
-        if (now < dueAtMillis.getOrPut(step) { now + FIRST_LINE_MILLIS } || !mayWrite(now)) return
-        dueAtMillis[step] = now + NEXT_LINE_MILLIS
+        val wait = waitByStep.getOrPut(step) { Wait(now + FIRST_LINE_MILLIS) }
+        wait.seenAtMillis = now
+        if (now < wait.dueAtMillis || !mayWrite(now)) return
+        wait.dueAtMillis = now + NEXT_LINE_MILLIS
         state.note(NoteKind.ADVICE_AWAITED, step.key, detail())
     }
 
@@ -40,6 +48,8 @@
     }
 
     private companion object {
+        // Passes visit a waiting step at least this often.
+        const val SEEN_MILLIS = 2_000L
         const val FIRST_LINE_MILLIS = 2_000L
         const val NEXT_LINE_MILLIS = 10_000L
         const val WINDOW_MILLIS = 1_000L
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -101,12 +101,14 @@
     var isOpen = false
 
     /** What the advisor has told about the step. */
-    var advice = StepAdvice()
-        private set
+    val advice: StepAdvice get() = knownAdvice ?: StepAdvice().also { knownAdvice = it }
+
+    // Most steps need no advice, and an owner holds very many.
+    private var knownAdvice: StepAdvice? = null
 
     /** Discards what the advisor has told about the step. */
     fun forgetAdvice() {
-        advice = StepAdvice()
+        knownAdvice = null
     }
 
     val isDone: Boolean get() = doneCount == tasks.size
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -34,7 +34,7 @@
         state.missingRoomByService.clear()
         state.unsettledRoomByService.clear()
         waits.beginPass()
-        adviceReport.beginPass()
+        adviceReport.beginPass(now)
         if (isThorough) unreached.beginPass()
         ready.services.forEach { ServicePass(it, configuration, now).run(isThorough) }
         advice.send(now) { step, maxWorkers -> workersToAskFor(step, maxWorkers, now) }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SurplusJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SurplusJobs.kt
@@ -66,7 +66,7 @@
      * weight.
      */
     inner class Pass {
-        private val total = accounts.totalCapacity()
+        private val total by lazy(LazyThreadSafetyMode.NONE, accounts::totalCapacity)
         private val cursors =
             indexByAccount.mapTo(PriorityQueue(leastServed)) { (account, index) ->
                 AccountCursor(account, index).also { it.usagePerWeight = accounts.usagePerWeight(account, total) }
