--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineIndexesTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineIndexesTest.kt
@@ -3,11 +3,14 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.verbenagauge.entry.jobs.model.Amount
 import org.verbenagauge.entry.load.LoadSettings
 
 private const val SEEDS = 60
+private const val CROWDED_SEEDS = 8
+private const val MAX_WAIT_MILLIS = 500L
 private const val FAULTY_MILLIS = 20_000L
 private const val FAULT_FREE_MILLIS = 20_000L
 
@@ -126,6 +129,24 @@
         .shouldBeEmpty()
 }
 
+/** Tells for how long tasks that could start have waited. */
+private class StartableTasks {
+    private var engine: JobEngine? = null
+    private val sinceMillis = HashMap<String, Long>()
+
+    /** Records the decision at [now] and returns the longest wait of a task that could still start after it. */
+    fun longestWaitMillis(
+        engine: JobEngine,
+        now: Long,
+    ): Long {
+        if (this.engine !== engine) sinceMillis.clear()
+        this.engine = engine
+        val startable = FullScan(engine, now).startable()
+        sinceMillis.keys.retainAll(startable.toSet())
+        return startable.maxOfOrNull { now - sinceMillis.getOrPut(it) { now } } ?: 0
+    }
+}
+
 class EngineIndexesTest :
     FunSpec({
         test(
@@ -149,6 +170,21 @@
             }
         }
 
+        // Guards against passes that end at the same jobs each time, so that those behind them never start.
+        test("behind 300 lasting jobs without room no task that fits waits for longer than some decisions") {
+            (1..CROWDED_SEEDS).forEach { seed ->
+                withClue("seed $seed") {
+                    val tasks = StartableTasks()
+                    val pool =
+                        VirtualPool(seed, crowd = 300, afterDecision = { engine, now ->
+                            tasks.longestWaitMillis(engine, now) shouldBeLessThanOrEqual MAX_WAIT_MILLIS
+                        })
+                    pool.simulate(FAULTY_MILLIS, FAULT_FREE_MILLIS) shouldBe emptyList()
+                    pool.oracle.unfinished().shouldBeEmpty()
+                }
+            }
+        }
+
         test("with account shares, surplus is ordered last and no room is kept empty") {
             val limits = EngineLimits(load = LoadSettings(accountShares = true))
             (1..SEEDS).forEach { seed ->
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/VirtualPool.kt
@@ -20,14 +20,15 @@
 /**
  * Simulates the engine with one seed against virtual workers in virtual time: answers are lost, orders arrive late and
  * out of order, workers crash and stop answering, owners change while the stored ends are stale. The settings of the
- * queue change [queueChanges] times, and workers leave after an announcement [leaves] times. [afterDecision] is called
- * with the engine after each of its decisions.
+ * queue change [queueChanges] times, and workers leave after an announcement [leaves] times. [crowd] lasting jobs that
+ * fit on no worker wait from the start. [afterDecision] is called with the engine after each of its decisions.
  */
 internal class VirtualPool(
     seed: Int,
     private val limits: EngineLimits = EngineLimits(),
     private val queueChanges: Int = 0,
     private val leaves: Int = 0,
+    private val crowd: Int = 0,
     private val afterDecision: (JobEngine, Long) -> Unit = { _, _ -> },
 ) {
     private class Event(
@@ -80,6 +81,7 @@
         faultMillis: Long,
         faultFreeMillis: Long,
     ): List<String> {
+        repeat(crowd) { storedJobs["crowd-$it"] = job(step(1, WORKER_CPU_MILLIS + 1 + it, isLasting = true)) }
         takeOver()
         submitJobs(faultMillis)
         repeat(TAKEOVERS) { at(random.nextLong(faultMillis)) { stopOwner() } }
