--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/AdviceReport.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/AdviceReport.kt
@@ -14,8 +14,7 @@
     }
 
     private val waitByStep = HashMap<StepEntry, Wait>()
-    private var windowStartMillis = Long.MIN_VALUE / 2
-    private var linesInWindow = 0
+    private val lines = LineLimiter(MAX_LINES_PER_SECOND)
 
     /** Number of steps that wait for permission. */
     val waitingSteps: Int get() = waitByStep.size
@@ -34,25 +33,16 @@
     ) {
         val wait = waitByStep.getOrPut(step) { Wait(now + FIRST_LINE_MILLIS) }
         wait.seenAtMillis = now
-        if (now < wait.dueAtMillis || !mayWrite(now)) return
+        if (now < wait.dueAtMillis || !lines.takeLine(now)) return
         wait.dueAtMillis = now + NEXT_LINE_MILLIS
         state.note(NoteKind.ADVICE_AWAITED, step.key, detail())
     }
 
-    private fun mayWrite(now: Long): Boolean {
-        if (now - windowStartMillis >= WINDOW_MILLIS) {
-            windowStartMillis = now
-            linesInWindow = 0
-        }
-        return linesInWindow++ < MAX_LINES_PER_SECOND
-    }
-
     private companion object {
         // Passes visit a waiting step at least this often.
         const val SEEN_MILLIS = 2_000L
         const val FIRST_LINE_MILLIS = 2_000L
         const val NEXT_LINE_MILLIS = 10_000L
-        const val WINDOW_MILLIS = 1_000L
         const val MAX_LINES_PER_SECOND = 5
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/StartWaits.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/StartWaits.kt
@@ -40,8 +40,7 @@
 
     private val waitByJob = HashMap<JobEntry, Wait>()
     private var pass = 0L
-    private var windowStartMillis = Long.MIN_VALUE / 2
-    private var linesInWindow = 0
+    private val lines = LineLimiter(MAX_LINES_PER_SECOND)
 
     /** Number of ready tasks that waited for runs of earlier owners when the scheduler last visited them. */
     var tasksWaitingForEarlierRuns = 0L
@@ -80,7 +79,7 @@
             wait.dueAtMillis = dueAtMillis(task)
             return
         }
-        if (!mayWrite(now)) return
+        if (!lines.takeLine(now)) return
         wait.loggedReason = reason
         wait.dueAtMillis = now + MIN_WAIT_MILLIS
         val waitMillis = now - task.readySinceMillis
@@ -92,18 +91,9 @@
 
     private fun dueAtMillis(task: TaskEntry) = task.readySinceMillis + MIN_WAIT_MILLIS
 
-    private fun mayWrite(now: Long): Boolean {
-        if (now - windowStartMillis >= WINDOW_MILLIS) {
-            windowStartMillis = now
-            linesInWindow = 0
-        }
-        return linesInWindow++ < MAX_LINES_PER_SECOND
-    }
-
     internal companion object {
         /** Highest number of lines that are written in a second. */
         const val MAX_LINES_PER_SECOND = 5
         private const val MIN_WAIT_MILLIS = 1_000L
-        private const val WINDOW_MILLIS = 1_000L
     }
 }
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/EngineFixtures.kt
@@ -18,6 +18,7 @@
 import org.verbenagauge.entry.jobs.ports.WorkerListing
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.RosterRecord
+import org.verbenagauge.entry.load.LoadSettings
 
 internal const val QUEUE = "tallies"
 internal const val SERVICE = "hall"
@@ -122,6 +123,18 @@
     return engine
 }
 
+/** Engine with shares of the accounts [teams], whose workers "w1" and "w2" have answered. */
+internal fun engineWithShares(vararg teams: TeamConfiguration): JobEngine {
+    val engine = JobEngine(1, EngineLimits(load = LoadSettings(accountShares = true)), now = 0)
+    engine.configure(configuration().copy(teams = teams.associateBy { it.name }))
+    engine.state.isWorkerListKnown = true
+    listOf("w1", "w2").forEach {
+        engine.addRecordedWorker(worker(it), now = 0)
+        engine.handleListing(it, listing(), sentAtMillis = 0, now = 0)
+    }
+    return engine
+}
+
 /** Adds [worker] as listed by the platform and stores in the roster that it may hold runs. */
 internal fun JobEngine.addRecordedWorker(
     worker: ListedWorker,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobBehindBlockedJobsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/JobBehindBlockedJobsTest.kt
@@ -11,7 +11,6 @@
 import org.verbenagauge.entry.jobs.model.StepSpecification
 import org.verbenagauge.entry.jobs.model.TeamConfiguration
 import org.verbenagauge.entry.jobs.records.JobRecord
-import org.verbenagauge.entry.load.LoadSettings
 
 private const val CROWD = "crowd"
 private const val OTHER = "other"
@@ -28,21 +27,11 @@
     val limit: Amount = Amount(),
 )
 
-private fun engineFor(case: BlockedCase): JobEngine {
-    val engine = JobEngine(1, EngineLimits(load = LoadSettings(accountShares = true)), now = 0)
-    val teams =
-        listOf(
-            TeamConfiguration(CROWD, emptySet(), 0.0, case.limit),
-            TeamConfiguration(OTHER, emptySet(), if (case.isLastSurplus) 0.01 else 0.0, Amount()),
-        )
-    engine.configure(configuration().copy(teams = teams.associateBy { it.name }))
-    engine.state.isWorkerListKnown = true
-    listOf("w1", "w2").forEach {
-        engine.addRecordedWorker(worker(it), now = 0)
-        engine.handleListing(it, listing(), sentAtMillis = 0, now = 0)
-    }
-    return engine
-}
+private fun engineFor(case: BlockedCase): JobEngine =
+    engineWithShares(
+        TeamConfiguration(CROWD, emptySet(), 0.0, case.limit),
+        TeamConfiguration(OTHER, emptySet(), if (case.isLastSurplus) 0.01 else 0.0, Amount()),
+    )
 
 private fun jobOf(
     team: String,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/SurplusBesideWaitingJobsTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/engine/SurplusBesideWaitingJobsTest.kt
@@ -11,7 +11,6 @@
 import org.verbenagauge.entry.jobs.ports.ListedRun
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.records.JobRecord
-import org.verbenagauge.entry.load.LoadSettings
 
 private const val WITHIN = "within"
 private const val FLOODING = "flooding"
@@ -25,17 +24,11 @@
     val startMillis: LongRange,
 )
 
-private fun twoAccounts(): JobEngine {
-    val engine = JobEngine(1, EngineLimits(load = LoadSettings(accountShares = true)), now = 0)
-    val teams =
-        listOf(
-            TeamConfiguration(WITHIN, emptySet(), 0.0, Amount()),
-            TeamConfiguration(FLOODING, emptySet(), 0.01, Amount()),
-        )
-    engine.configure(configuration().copy(teams = teams.associateBy { it.name }))
-    engine.state.isWorkerListKnown = true
-    return engine
-}
+private fun twoAccounts(): JobEngine =
+    engineWithShares(
+        TeamConfiguration(WITHIN, emptySet(), 0.0, Amount()),
+        TeamConfiguration(FLOODING, emptySet(), 0.01, Amount()),
+    )
 
 private fun record(
     team: String,
@@ -74,10 +67,6 @@
                         if (task.jobId == "d-surplus") startedAtMillis = startedAtMillis ?: now
                     }
 
-                listOf("w1", "w2").forEach {
-                    engine.addRecordedWorker(worker(it), now = 0)
-                    engine.handleListing(it, listing(), sentAtMillis = 0, now = 0)
-                }
                 engine.accept("a-running", record(WITHIN, case.running), now = 0)
                 decide(0)
                 engine.accept("b-waiting", record(WITHIN, case.waiting), now = ARRIVAL_MILLIS)
