--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SurplusJobs.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/SurplusJobs.kt
@@ -35,8 +35,6 @@
 
     private val indexByAccount = HashMap<String, RankIndex>()
 
-    val isEmpty: Boolean get() = indexByAccount.isEmpty()
-
     /** Returns the indexes of all accounts, in no particular order. */
     fun indexes(): Collection<RankIndex> = indexByAccount.values
 
