--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -99,6 +99,8 @@
     /** Whether any of its tasks is ready and, in a job of which one task is retried, belongs to the step of that task. */
     val mayStartAny: Boolean get() = readyCount > 0 && occurrence.job.retry.let { it == null || it.step === this }
     var isOpen = false
+    val isDone: Boolean get() = doneCount == tasks.size
+    val key: String get() = "${occurrence.job.id}.${occurrence.number}.$index"
 
     /** What the advisor has told about the step. */
     val advice: StepAdvice get() = knownAdvice ?: StepAdvice().also { knownAdvice = it }
@@ -111,9 +113,6 @@
         knownAdvice = null
     }
 
-    val isDone: Boolean get() = doneCount == tasks.size
-    val key: String get() = "${occurrence.job.id}.${occurrence.number}.$index"
-
     /**
      * Room that [tasks] tasks occupy; fillers reserve no processor time, since they use only what others leave idle.
      */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/Scheduler.kt
@@ -291,6 +291,8 @@
         private val specification: StepSpecification = step.specification
         private val job = step.occurrence.job
 
+        private val isAdvised = job.queue.advice != null
+
         private var lacksCapacity = false
 
         /** Whether a task of the step waits because no worker has capacity for it. */
@@ -298,14 +300,7 @@
             private set
 
         fun run() {
-            val allowed =
-                if (job.queue.advice ==
-                    null
-                ) {
-                    workers
-                } else {
-                    workers.filter { step.advice.ticket(it, now) != null }
-                }
+            val allowed = if (isAdvised) workers.filter { step.advice.ticket(it, now) != null } else workers
             if (!freeCapacity.mayFit(specification)) {
                 isBlockedByCapacity = true
                 recordMissing(step.readyCount)
@@ -324,7 +319,7 @@
 
         // Asks the advisor for workers that may start more tasks of the step; returns whether an answer is due.
         private fun askAdvice(): Boolean {
-            if (job.queue.advice == null) return false
+            if (!isAdvised) return false
             if (!state.quota.allows(job.record.teamName, specification.amount, limit)) return false
             if (!advice.isAsking(step) && workers.none { isWorthAsking(step, it, now) }) return false
             advice.add(step)
@@ -391,7 +386,7 @@
 
         /** Starts copies of runs of the step that are slow or on unresponsive workers, where they fit. */
         fun runCopies() {
-            if (specification.isGang || specification.isLasting || job.queue.advice != null) return
+            if (specification.isGang || specification.isLasting || isAdvised) return
             val expectedMillis = state.runTimes.expectMillis(job.queue.name, specification.estimatedMillis)
             step.tasks.filter { it.phase == TaskPhase.PLACED && it.copy == null }.forEach { task ->
                 val run = task.run ?: return@forEach
