Review case 11: the owner keeps channels to workers that are gone until it hangs

Cause: PlatformWorkers keeps a pool of channels for each id and address of a worker and drops none, and a pool closes idle channels only when it is used again. Each move of a machine ends a worker, so that the owner's descriptors rise until the limit of the deployment is reached.

Evidence: review/11/run.sh plays queues that take turns on 40 machines, without any failure, with entries limited to 4,100 descriptors. The owner reaches them after some 50 s, stops answering new channels and reaches no new worker, but stays the owner.

--- a/review/rig-3/src/Cloud.java
+++ b/review/rig-3/src/Cloud.java
@@ -57,7 +57,7 @@
         for (Machine machine : machines.values()) {
             Map<String, Object> row = Json.of(
                 "Machine", machine.name, "Pool", machine.pool, "State", machine.state, "Zone", "zone-a",
-                "Labels", List.of("a", "r1-1"), "Capacity", Json.of("Cpu", 16_000L, "MemMb", 64_000L, "Gpu", 0L));
+                "Labels", List.of("a", "r1-1"), "Capacity", Json.of("Cpu", 64_000L, "MemMb", 128_000L, "Gpu", 0L));
             if (machine.worker != null) row.put("Id", machine.worker.id);
             listed.add(row);
         }
--- a/review/rig-3/src/Http.java
+++ b/review/rig-3/src/Http.java
@@ -13,6 +13,9 @@
 final class Http {
     static {
         System.setProperty("sun.net.httpserver.nodelay", "true");
+        // Idle channels stay open, as those of a sound server.
+        System.setProperty("sun.net.httpserver.maxIdleConnections", "100000");
+        System.setProperty("sun.net.httpserver.idleInterval", "300");
     }
 
     static final class Call {
@@ -91,5 +94,6 @@
     void stop() {
         isDead = true;
         server.stop(0);
+        threads.shutdown();
     }
 }
--- a/review/rig-3/src/Worker.java
+++ b/review/rig-3/src/Worker.java
@@ -3,6 +3,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
  * A worker of the platform. The text of a job tells how long its tasks take: "work MS", or "lasting" for tasks that run
@@ -42,6 +46,11 @@
     private static final long HOLD_MAX_MILLIS = 6_000;
     private static final long HEARTBEAT_MILLIS = 1_500;
 
+    /** Tasks of which a worker's end as done is acknowledged, and tasks that run now; over all workers. */
+    static final Set<String> acknowledgedDone = ConcurrentHashMap.newKeySet();
+    static final Map<String, String> runningNow = new ConcurrentHashMap<>();
+    static final Queue<String> doubles = new ConcurrentLinkedQueue<>();
+
     final String id;
     final String machine;
     volatile String service;
@@ -87,6 +96,7 @@
         deadlineMillis = 0;
         endCounter = 0;
         sequence = 0;
+        running.values().forEach(run -> runningNow.remove(run.task, id));
         running.values().forEach(run -> record.line("gone     " + id + " " + run.task + " run " + run.runId));
         running.clear();
         endedRunByTask.clear();
@@ -131,12 +141,22 @@
     /** Ends a run in the given way. */
     synchronized void end(Run run, String how) {
         if (running.remove(run.task) == null) return;
+        runningNow.remove(run.task, id);
         endedRunByTask.merge(run.task, run.runId, Math::max);
         ends.add(List.of(++endCounter, run.task, run.runId, how, ""));
         record.line("end      " + id + " " + run.task + " run " + run.runId + " " + how);
         notifyAll();
     }
 
+    private void note(String text) {
+        doubles.add(text);
+        record.line(text);
+    }
+
+    int port() {
+        return http.port();
+    }
+
     synchronized List<Run> runs() {
         return new ArrayList<>(running.values());
     }
@@ -205,6 +225,9 @@
             return refused("old");
         }
         extend(body);
+        String other = runningNow.put(task, id);
+        if (other != null) note("DOUBLE   " + task + " run " + runId + " on " + id + " beside a run on " + other);
+        if (acknowledgedDone.contains(task)) note("DOUBLE   " + task + " run " + runId + " on " + id + " after its end as done was acknowledged");
         running.put(task, new Run(task, runId, (String) body.get("Specification"), clock()));
         record.line("run      " + id + " " + task + " run " + runId);
         return new Http.Answer(200, Json.of("ClockMs", clock()));
@@ -224,6 +247,9 @@
     private synchronized Http.Answer hold(Map<String, Object> body) throws InterruptedException {
         if (isFenced(body)) return refused("fence");
         long acknowledged = Json.number(body.get("AckCursor"));
+        for (List<Object> end : ends) {
+            if ((Long) end.get(0) <= acknowledged && end.get(3).equals("done")) acknowledgedDone.add((String) end.get(1));
+        }
         ends.removeIf(end -> (Long) end.get(0) <= acknowledged);
         extend(body);
         long until = clock() + Math.min(2_000, Json.number(body.get("WaitMs")));
