Review rig 3: checks of doubled runs, and a capacity for each machine

Cause: the stand-ins of cases 11 and 12 listed the same capacity for all machines, and did not notice two runs of one task.

The record of case 11 has some 60,000 lines for each run and is left out of the repository.

--- a/review/rig-3/src/Cloud.java
+++ b/review/rig-3/src/Cloud.java
@@ -8,14 +8,16 @@
 final class Cloud {
     static final class Machine {
         final String name;
+        final long cpu;
         String pool;
         String state = "up";
         Worker worker;
         long token;
         long doneWave;
 
-        Machine(String name, String pool) {
+        Machine(String name, String pool, long cpu) {
             this.name = name;
+            this.cpu = cpu;
             this.pool = pool;
         }
     }
@@ -57,7 +59,7 @@
         for (Machine machine : machines.values()) {
             Map<String, Object> row = Json.of(
                 "Machine", machine.name, "Pool", machine.pool, "State", machine.state, "Zone", "zone-a",
-                "Labels", List.of("a", "r1-1"), "Capacity", Json.of("Cpu", 64_000L, "MemMb", 128_000L, "Gpu", 0L));
+                "Labels", List.of("a", "r1-1"), "Capacity", Json.of("Cpu", machine.cpu, "MemMb", 64_000L, "Gpu", 0L));
             if (machine.worker != null) row.put("Id", machine.worker.id);
             listed.add(row);
         }
--- a/review/rig-3/src/Site.java
+++ b/review/rig-3/src/Site.java
@@ -59,7 +59,7 @@
     Worker addWorker(String id, String service, long cpu) throws Exception {
         Worker worker = new Worker(id, "m-" + id, service, address(20 + workers.size()), cpu, store, record);
         workers.add(worker);
-        Cloud.Machine machine = new Cloud.Machine(worker.machine, service);
+        Cloud.Machine machine = new Cloud.Machine(worker.machine, service, cpu);
         machine.worker = worker;
         synchronized (cloud) {
             cloud.machines.put(machine.name, machine);
@@ -107,7 +107,7 @@
     }
 
     void addMachine(String name, String pool, boolean isStandby, long cpu) throws Exception {
-        Cloud.Machine machine = new Cloud.Machine(name, pool);
+        Cloud.Machine machine = new Cloud.Machine(name, pool, cpu);
         synchronized (cloud) {
             cloud.machines.put(name, machine);
         }
--- a/review/rig-3/src/Store.java
+++ b/review/rig-3/src/Store.java
@@ -42,6 +42,9 @@
     final Http http;
     volatile Gate gate = call -> null;
 
+    /** Entry that last wrote under a condition on a row named owner; empty before. */
+    volatile String lastOwner = "";
+
     Store(String host) throws IOException {
         http = new Http(host, 0, this::handle);
     }
@@ -106,6 +109,11 @@
         version++;
         for (Object each : Json.list(body.get("Write"))) {
             Map<String, Object> row = Json.map(each);
+            if ("owner".equals(row.get("Key"))) {
+                String value = new String(Base64.getDecoder().decode(text(row, "Value")), java.nio.charset.StandardCharsets.ISO_8859_1);
+                java.util.regex.Matcher name = java.util.regex.Pattern.compile("entry-\\d").matcher(value);
+                if (name.find()) lastOwner = name.group();
+            }
             apply(text(row, "Table"), text(row, "part"), text(row, "Key"), text(row, "Value"));
         }
         for (Object each : Json.list(body.get("Remove"))) {
--- a/review/rig-3/src/Worker.java
+++ b/review/rig-3/src/Worker.java
@@ -133,7 +133,7 @@
     /** Writes the worker's entry. */
     synchronized void list() {
         store.put("servers", id, Json.of(
-            "Service", service, "Address", host + ":" + http.port(), "Zone", "zone-a", "Version", "v1", "Slots", 8L,
+            "Service", service, "Address", host + ":" + port(), "Zone", "zone-a", "Version", "v1", "Slots", 8L,
             "State", "ready", "ColdRemainingMs", 0L, "Capacity", Json.of("Cpu", capacityCpu, "MemMb", 64_000L, "Gpu", 0L),
             "Labels", List.of("a", "r1-1"), "Machine", machine, "ClockMs", clock(), "Sequence", ++sequence, "born", born));
     }
