--- a/review/rig-3/src/Entry.java
+++ b/review/rig-3/src/Entry.java
@@ -18,9 +18,6 @@
     private final List<String> command = new ArrayList<>();
     Process process;
 
-    /** Most descriptors of the process, as the deployment gives; 0 leaves the limit of this process. */
-    static int mostDescriptors;
-
     Entry(Path root, Path folder, String name, String host, String store, String cloud) throws IOException {
         this.name = name;
         this.host = host;
@@ -60,10 +57,7 @@
     }
 
     void start(Path root) throws IOException {
-        List<String> all = new ArrayList<>();
-        if (mostDescriptors > 0) all.addAll(List.of("/bin/sh", "-c", "ulimit -n " + mostDescriptors + "; exec \"$@\"", "sh"));
-        all.addAll(command);
-        ProcessBuilder builder = new ProcessBuilder(all).directory(root.toFile()).redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true);
         builder.environment().put("VERBENAGAUGE_NODE_FILE", folder.resolve(name + ".toml").toString());
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         process = builder.start();
--- a/review/rig-3/src/Site.java
+++ b/review/rig-3/src/Site.java
@@ -67,51 +67,18 @@
         return worker;
     }
 
-    /** Lets the platform move machines between pools: the worker ends, and a new one joins after the time of a move. */
-    void allowMoves(String standby, long cpu) {
-        cloud.orders = (machine, call) -> {
-            String pool = (String) call.body.get("Pool");
-            if (!call.path.equals("/v1/machine-move") || pool == null) return new Http.Answer(400, Json.of());
-            if (machine.pool.equals(pool)) return new Http.Answer(200, Json.of());
-            if (!machine.state.equals("up")) return new Http.Answer(409, Json.of("Reason", "busy"));
-            machine.state = "moving";
-            machine.pool = pool;
-            moves++;
-            Worker last = machine.worker;
-            machine.worker = null;
-            Thread move = new Thread(() -> {
-                try {
-                    if (last != null) last.leave();
-                    Thread.sleep(1_500);
-                    Worker next = pool.equals(standby) ? null
-                        : new Worker("i-" + machine.name + "-" + ++lives, machine.name, pool, machineAddress(machine.name), cpu, store, record);
-                    synchronized (cloud) {
-                        machine.worker = next;
-                        machine.state = "up";
-                    }
-                } catch (Exception e) {
-                    e.printStackTrace();
-                }
-            });
-            move.setDaemon(true);
-            move.start();
-            return new Http.Answer(200, Json.of());
-        };
-    }
-
     private volatile int lives;
-    volatile int moves;
 
     private String machineAddress(String name) {
         return address(20 + new ArrayList<>(cloud.machines.keySet()).indexOf(name));
     }
 
-    void addMachine(String name, String pool, boolean isStandby, long cpu) throws Exception {
+    void addMachine(String name, String pool, long cpu) throws Exception {
         Cloud.Machine machine = new Cloud.Machine(name, pool, cpu);
         synchronized (cloud) {
             cloud.machines.put(name, machine);
         }
-        if (!isStandby) machine.worker = new Worker("i-" + name + "-" + ++lives, name, pool, machineAddress(name), cpu, store, record);
+        machine.worker = new Worker("i-" + name + "-" + ++lives, name, pool, machineAddress(name), cpu, store, record);
     }
 
     /** Workers of the machines that are up in [pool]. */
@@ -188,23 +155,11 @@
             "Anonymous", true);
     }
 
-    static Map<String, Object> standby(String name) {
-        Map<String, Object> service = service(name);
-        service.put("Standby", true);
-        return service;
-    }
-
     static Map<String, Object> service(String name) {
         return Json.of("Name", name, "HealthPath", "/health", "ConnectionLimit", 64L, "Protocol", "h1", "Tls", false,
             "EnforcesCapacity", false, "Standby", false);
     }
 
-    /** Number of descriptors that the process of [entry] has open. */
-    static int descriptors(Entry entry) {
-        String[] names = new java.io.File("/proc/" + entry.process.pid() + "/fd").list();
-        return names == null ? -1 : names.length;
-    }
-
     void config(long version, List<?> routes, List<?> services) {
         store.put("op", "config", Json.of("Version", version, "Routes", routes, "Services", services,
             "Limits", Json.of("MaxHeaderBytes", 16_384L, "MaxBodyBytes", 262_144L, "HeaderTimeoutMs", 3_000L, "IdleTimeoutMs", 15_000L),
--- a/review/rig-3/src/Worker.java
+++ b/review/rig-3/src/Worker.java
@@ -3,10 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
  * A worker of the platform. The text of a job tells how long its tasks take: "work MS", or "lasting" for tasks that run
@@ -46,21 +42,19 @@
     private static final long HOLD_MAX_MILLIS = 6_000;
     private static final long HEARTBEAT_MILLIS = 1_500;
 
-    /** Tasks of which a worker's end as done is acknowledged, and tasks that run now; over all workers. */
-    static final Set<String> acknowledgedDone = ConcurrentHashMap.newKeySet();
-    static final Map<String, String> runningNow = new ConcurrentHashMap<>();
-    static final Queue<String> doubles = new ConcurrentLinkedQueue<>();
+    /** Most channels that a worker takes; 0 for no limit. */
+    static int mostChannels;
 
     final String id;
     final String machine;
     volatile String service;
     final Http http;
+    final Gateway gateway;
     private final Store store;
     private final Record record;
     private final String host;
     private final long capacityCpu;
     private final Thread ticker;
-    private volatile boolean isGone;
     volatile Gate gate = call -> null;
 
     private long born;
@@ -83,6 +77,7 @@
         this.record = record;
         begin();
         http = new Http(host, 0, this::handle);
+        gateway = mostChannels > 0 ? new Gateway(host, http.port(), mostChannels) : null;
         ticker = new Thread(this::tick, "worker " + id);
         ticker.setDaemon(true);
         ticker.start();
@@ -96,7 +91,6 @@
         deadlineMillis = 0;
         endCounter = 0;
         sequence = 0;
-        running.values().forEach(run -> runningNow.remove(run.task, id));
         running.values().forEach(run -> record.line("gone     " + id + " " + run.task + " run " + run.runId));
         running.clear();
         endedRunByTask.clear();
@@ -109,7 +103,7 @@
 
     private void tick() {
         long listedNanos = 0;
-        while (!isGone) {
+        while (true) {
             synchronized (this) {
                 long now = clock();
                 for (Run run : new ArrayList<>(running.values())) {
@@ -141,34 +135,20 @@
     /** Ends a run in the given way. */
     synchronized void end(Run run, String how) {
         if (running.remove(run.task) == null) return;
-        runningNow.remove(run.task, id);
         endedRunByTask.merge(run.task, run.runId, Math::max);
         ends.add(List.of(++endCounter, run.task, run.runId, how, ""));
         record.line("end      " + id + " " + run.task + " run " + run.runId + " " + how);
         notifyAll();
     }
 
-    private void note(String text) {
-        doubles.add(text);
-        record.line(text);
-    }
-
     int port() {
-        return http.port();
+        return gateway == null ? http.port() : gateway.port();
     }
 
     synchronized List<Run> runs() {
         return new ArrayList<>(running.values());
     }
 
-    /** Leaves for good; its entry is removed. */
-    void leave() {
-        isGone = true;
-        begin();
-        http.stop();
-        store.put("servers", id, null);
-    }
-
     private Http.Answer handle(Http.Call call) throws Exception {
         Http.Answer other = gate.before(call);
         if (other != null) return other;
@@ -225,9 +205,6 @@
             return refused("old");
         }
         extend(body);
-        String other = runningNow.put(task, id);
-        if (other != null) note("DOUBLE   " + task + " run " + runId + " on " + id + " beside a run on " + other);
-        if (acknowledgedDone.contains(task)) note("DOUBLE   " + task + " run " + runId + " on " + id + " after its end as done was acknowledged");
         running.put(task, new Run(task, runId, (String) body.get("Specification"), clock()));
         record.line("run      " + id + " " + task + " run " + runId);
         return new Http.Answer(200, Json.of("ClockMs", clock()));
@@ -247,9 +224,6 @@
     private synchronized Http.Answer hold(Map<String, Object> body) throws InterruptedException {
         if (isFenced(body)) return refused("fence");
         long acknowledged = Json.number(body.get("AckCursor"));
-        for (List<Object> end : ends) {
-            if ((Long) end.get(0) <= acknowledged && end.get(3).equals("done")) acknowledgedDone.add((String) end.get(1));
-        }
         ends.removeIf(end -> (Long) end.get(0) <= acknowledged);
         extend(body);
         long until = clock() + Math.min(2_000, Json.number(body.get("WaitMs")));
