--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobMetrics.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/JobMetrics.kt
@@ -1,6 +1,7 @@
 package org.verbenagauge.entry.jobs
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -38,6 +39,22 @@
             .labelNames("target", "outcome")
             .register(registry)
 
+    private val connections =
+        Gauge
+            .builder()
+            .name("verbenagauge_connections")
+            .help("Connections to workers that this entry holds open")
+            .labelNames("target")
+            .register(registry)
+
+    private val connectionsOpened =
+        Counter
+            .builder()
+            .name("verbenagauge_connections_opened_total")
+            .help("Connections to workers that this entry has opened")
+            .labelNames("target")
+            .register(registry)
+
     private val refused =
         Counter
             .builder()
@@ -74,6 +91,17 @@
         outgoing.labelValues(target, outcome).observe(millis / MILLIS_PER_SECOND)
     }
 
+    /** Counts a connection to [target] that was opened. */
+    public fun connectionOpened(target: String) {
+        connections.labelValues(target).inc()
+        connectionsOpened.labelValues(target).inc()
+    }
+
+    /** Counts a connection to [target] that was closed here. */
+    public fun connectionClosed(target: String) {
+        connections.labelValues(target).dec()
+    }
+
     /** Registers a gauge whose value is read by [read]. */
     public fun gauge(
         name: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -56,6 +56,7 @@
     private val drivers = HashMap<String, WorkerDriver>()
     private val endReason = CompletableDeferred<String>()
     private val writer = OwnerWriter(lease, engine, clock, settings, cleaner, progressRows)
+    private val unansweredOrders = UnansweredOrderLog(log)
     private var releaseRequested = false
 
     /** Latency of the decisions of this term. */
@@ -155,6 +156,7 @@
                 fullDecisionAtMillis = now
                 engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
                 drivers.values.removeIf { it.isClosed }
+                unansweredOrders.retain(drivers.keys)
             } else {
                 engine.react(now).forEach { execute(scope, it) }
             }
@@ -190,7 +192,7 @@
                 !writer.isLeaseValid() -> leaseUncertain
                 engine.isEvacuated(action.address.workerId) -> zoneEvacuated
                 !engine.mayGrant(action.address.workerId) -> workerSilent
-                else -> ports.workers.start(action.address, action.order)
+                else -> ports.workers.start(action.address, action.order).also { logIfUnanswered(action.address, it) }
             }
         if (outcome is OrderOutcome.Unanswered || outcome is OrderOutcome.NotSent) delay(ORDER_RETRY_MILLIS)
         val workerId = action.address.workerId
@@ -199,11 +201,19 @@
         wake()
     }
 
+    private fun logIfUnanswered(
+        address: WorkerAddress,
+        outcome: OrderOutcome,
+    ) {
+        unansweredOrders.record(address.workerId, outcome, clock.monotonicMillis())
+    }
+
     private suspend fun stop(action: EngineAction.Stop) {
         val epoch = engine.state.epoch
         if (!writer.isLeaseValid()) return
         val sentAtMillis = clock.monotonicMillis()
         val outcome = ports.workers.stop(action.address, action.taskId, action.runId, epoch)
+        logIfUnanswered(action.address, outcome)
         val now = clock.monotonicMillis()
         val workerId = action.address.workerId
         endIfFenced(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpConnection.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpConnection.kt
@@ -28,6 +28,7 @@
     private val selector: SelectorManager,
     private val host: String,
     private val port: Int,
+    private val observer: ConnectionObserver = UnobservedConnections,
 ) {
     private var socket: Socket? = null
     private var input: ByteReadChannel? = null
@@ -81,6 +82,7 @@
                 input = opened.openReadChannel()
                 output = opened.openWriteChannel(autoFlush = false)
                 isProven = false
+                observer.onOpened()
             }
             if (opened == null) "no connection to $host:$port in $timeoutMillis ms" else null
         } catch (e: Exception) {
@@ -163,7 +165,10 @@
 
     /** Closes the connection; the next exchange opens a new one. */
     fun close() {
-        socket?.close()
+        socket?.let {
+            it.close()
+            observer.onClosed()
+        }
         socket = null
         input = null
         output = null
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpPool.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpPool.kt
@@ -9,6 +9,7 @@
     private val host: String,
     private val port: Int,
     private val clock: Clock,
+    private val observer: ConnectionObserver = UnobservedConnections,
 ) {
     private val idle = ArrayDeque<IdleConnection>()
 
@@ -17,7 +18,7 @@
         call: HttpCall,
         timeoutMillis: Long,
     ): HttpOutcome {
-        val connection = takeIdle() ?: HttpConnection(selector, host, port)
+        val connection = takeIdle() ?: HttpConnection(selector, host, port, observer)
         val wasProven = connection.isProven
         val outcome = connection.exchange(call, timeoutMillis)
         // A peer may close an idle connection at any time; other idle ones are likely to be dead as well.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformWorkers.kt
@@ -12,6 +12,7 @@
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.ports.WorkerGateway
 import org.verbenagauge.entry.jobs.ports.WorkerListings
+import org.verbenagauge.http.ConnectionObserver
 import org.verbenagauge.http.HttpCall
 import org.verbenagauge.http.HttpConnection
 import org.verbenagauge.http.HttpOutcome
@@ -27,8 +28,14 @@
     private val metrics: JobMetrics,
 ) : WorkerGateway {
     private val pools = HashMap<WorkerAddress, HttpPool>()
+    private val observer =
+        object : ConnectionObserver {
+            override fun onOpened() = metrics.connectionOpened(TARGET)
 
-    override fun listings(address: WorkerAddress): WorkerListings = Listings(selector, address)
+            override fun onClosed() = metrics.connectionClosed(TARGET)
+        }
+
+    override fun listings(address: WorkerAddress): WorkerListings = Listings(selector, address, observer)
 
     override suspend fun start(
         address: WorkerAddress,
@@ -74,12 +81,12 @@
         serializer: KSerializer<T>,
         wire: T,
     ): OrderOutcome {
-        val pool = pools.getOrPut(address) { HttpPool(selector, address.host, address.port, clock) }
+        val pool = pools.getOrPut(address) { HttpPool(selector, address.host, address.port, clock, observer) }
         val body = wireJson.encodeToString(serializer, wire).encodeToByteArray()
         val call = HttpCall("POST", path, listOf(LIFE_HEADER to address.workerId), body)
         val startedMillis = clock.monotonicMillis()
         val outcome = pool.exchange(call, ORDER_TIMEOUT_MILLIS)
-        metrics.outgoing("worker", outcome.label, clock.monotonicMillis() - startedMillis)
+        metrics.outgoing(TARGET, outcome.label, clock.monotonicMillis() - startedMillis)
         return when (outcome) {
             is HttpOutcome.Answered -> readOrderAnswer(outcome)
             is HttpOutcome.NotSent -> OrderOutcome.NotSent(outcome.cause)
@@ -90,14 +97,16 @@
     private companion object {
         // Workers answer in some milliseconds; the same order is sent again after this.
         const val ORDER_TIMEOUT_MILLIS = 500L
+        const val TARGET = "worker"
     }
 }
 
 private class Listings(
     selector: SelectorManager,
     private val address: WorkerAddress,
+    observer: ConnectionObserver,
 ) : WorkerListings {
-    private val connection = HttpConnection(selector, address.host, address.port)
+    private val connection = HttpConnection(selector, address.host, address.port, observer)
 
     override val isProven: Boolean get() = connection.isProven
 
