Orders to a worker share a few connections, and no order is repeated without end

Cause: an owner opened a connection for each order in flight, up to all 64 that a worker takes, and kept them: idle ones were closed only by the next call of the same pool, and the pools outlived their workers and terms. The next owner got one connection, for the listing, took the worker for sound, and repeated its start orders there at once without end.

Fix: at most four orders to a worker are in flight (a sixteenth of its connection limit where that is less), which holds while a process stands still; permission to send is asked after the wait. After orders without an answer one at a time goes out, after a growing pause; three such rounds, and the worker is avoided; an order whose lease has passed gives way to a stop, after which the task starts elsewhere. Connections are closed when a worker leaves, a term ends or they idle for 10 s.

--- a/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/jobs/SimulatedPool.kt
+++ b/verbenagauge-standin/src/main/kotlin/org/verbenagauge/standin/jobs/SimulatedPool.kt
@@ -69,6 +69,10 @@
         fencingToken: Long,
     ): OrderOutcome = OrderOutcome.Done(clock.monotonicMillis())
 
+    override fun disconnect(address: WorkerAddress) = Unit
+
+    override fun closeIdleConnections() = Unit
+
     private fun worker(address: WorkerAddress) = workers.getValue(address.workerId)
 
     private inner class DirectListings(
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -347,6 +347,9 @@
     /** Whether some start order for this run got no answer, so that the worker may still carry it out late. */
     var isUncertain = false
 
+    /** Whether its order is no longer repeated although it got no answer; the worker may still carry out a copy of it. */
+    var isStartAbandoned = false
+
     /** Whether its worker has refused a repeated order for it as old, so that only the worker knows how it ended. */
     var hasUnlistedEnd = false
     var percent = 0
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -114,6 +114,25 @@
     /** Whether [workerId] may be sent orders that grant leases; a recorded end of its leases is removed first. */
     fun mayGrant(workerId: String): Boolean = state.roster.mayGrant(workerId)
 
+    /** Connections that [workerId] accepts from all callers together; 0 if not known. */
+    fun connectionLimitOf(workerId: String): Long {
+        val serviceName = state.workers[workerId]?.listed?.serviceName ?: return 0
+        return state.configuration
+            ?.services
+            ?.get(serviceName)
+            ?.connectionLimit ?: 0
+    }
+
+    /** Whether [order] is still to be sent to [workerId]: a copy of it may be there, or its run is to start there. */
+    fun isStartDue(
+        workerId: String,
+        order: StartOrder,
+    ): Boolean {
+        val worker = state.workers[workerId] ?: return false
+        val run = worker.runs[order.taskId]?.takeIf { it.runId == order.runId } ?: return false
+        return run.phase == RunPhase.STARTING && (run.isUncertain || worker.listed.isReady)
+    }
+
     /** Whether [workerId] must not get new runs because its availability zone is evacuated. */
     fun isEvacuated(workerId: String): Boolean = state.workers[workerId]?.let(state.evacuatedZones::includes) ?: false
 
@@ -527,7 +546,10 @@
     }
 
     // An order in flight may reach a later incarnation with the same ID, whose clock has started again.
-    private fun mayStillStart(run: Run) = run.phase == RunPhase.STARTING && run.isUncertain
+    private fun mayStillStart(run: Run): Boolean {
+        if (!run.isUncertain) return false
+        return run.phase == RunPhase.STARTING || run.isStartAbandoned && run.stopConfirmedAtMillis == 0L
+    }
 
     // Its end may be listed by a later incarnation, whose clock has started again, so an expired lease proves nothing.
     private fun mayBeDone(run: Run) = run.isUncertain && run.hasUnlistedEnd
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/OrderOutcomeHandler.kt
@@ -24,6 +24,7 @@
         sentAtMillis: Long,
     ): Boolean {
         val worker = state.workers[workerId] ?: return true
+        health.recordOrderOutcome(worker, outcome, sentAtMillis, now)
         val run = worker.runs[order.taskId]?.takeIf { it.runId == order.runId } ?: return true
         val isAnswered = outcome is OrderOutcome.Done || outcome is OrderOutcome.Refused
         if (isAnswered && sentAtMillis < worker.incarnationSinceMillis) {
@@ -41,18 +42,27 @@
             }
 
             is OrderOutcome.Unanswered -> resendStart(worker, run, order, isUncertain = true, now)
-            is OrderOutcome.NotSent ->
-                if (mayHaveStarted(run)) {
-                    resendStart(worker, run, order, isUncertain = false, now)
-                } else {
-                    giveUp(run, "not sent: ${outcome.cause}", now)
-                }
-
+            is OrderOutcome.NotSent -> applyUnsent(worker, run, order, outcome.cause, now)
+            is OrderOutcome.Withheld -> applyUnsent(worker, run, order, outcome.cause, now)
             is OrderOutcome.Refused -> return applyRefusal(worker, run, outcome.refusal, now)
         }
         return true
     }
 
+    private fun applyUnsent(
+        worker: WorkerEntry,
+        run: Run,
+        order: StartOrder,
+        cause: String,
+        now: Long,
+    ) {
+        if (mayHaveStarted(run)) {
+            resendStart(worker, run, order, isUncertain = false, now)
+        } else {
+            giveUp(run, "not sent: $cause", now)
+        }
+    }
+
     private fun confirm(
         run: Run,
         now: Long,
@@ -77,6 +87,12 @@
             state.evacuatedZones.withheldSinceMillis.putIfAbsent(run, now)
             return
         }
+        // The worker refuses every further copy as too late. Once it has confirmed the stop, the task can start elsewhere.
+        if (worker.firstFailureMillis == null && worker.estimatedClockMillis(now) >= order.leaseUntilWorkerMillis) {
+            run.isStartAbandoned = true
+            runs.stop(run, now)
+            return
+        }
         state.emit(EngineAction.Start(worker.listed.address, order))
     }
 
@@ -139,6 +155,7 @@
     ): Boolean {
         if (outcome is OrderOutcome.Refused && outcome.refusal == StartRefusal.FENCED) return false
         val worker = state.workers[workerId] ?: return true
+        health.recordOrderOutcome(worker, outcome, sentAtMillis, now)
         val run = worker.runs[taskId]?.takeIf { it.runId == runId } ?: return true
         // The answer may come from the previous incarnation, whose stops the current one does not know.
         if (sentAtMillis < worker.incarnationSinceMillis) return true
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerEntry.kt
@@ -50,6 +50,10 @@
     var avoidUntilMillis = 0L
     var failStreak = 0
 
+    /** Number of times in a row that the orders in flight got no answer although it returns listings. */
+    var unansweredRounds = 0
+    var unansweredAtMillis = 0L
+
     /** Ratio of actual to expected run times on this worker. */
     val slowness = SmoothedRatio()
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerHealth.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/WorkerHealth.kt
@@ -1,5 +1,6 @@
 package org.verbenagauge.entry.jobs.engine
 
+import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.load.BayesianMachineHealth
 
 /**
@@ -64,6 +65,29 @@
         avoid(worker, "it refuses orders because it is unhealthy", now)
     }
 
+    /**
+     * Records the [outcome] of an order to [worker] that was sent at [sentAtMillis]. A worker that returns listings and
+     * leaves orders unanswered is avoided.
+     */
+    fun recordOrderOutcome(
+        worker: WorkerEntry,
+        outcome: OrderOutcome,
+        sentAtMillis: Long,
+        now: Long,
+    ) {
+        when (outcome) {
+            is OrderOutcome.Done, is OrderOutcome.Refused -> worker.unansweredRounds = 0
+            is OrderOutcome.Withheld -> Unit
+            is OrderOutcome.Unanswered, is OrderOutcome.NotSent -> {
+                // Orders in flight together fail for the same reason.
+                if (worker.firstFailureMillis != null || sentAtMillis < worker.unansweredAtMillis) return
+                worker.unansweredAtMillis = now
+                worker.unansweredRounds++
+                if (worker.unansweredRounds >= UNANSWERED_ROUNDS_TO_AVOID) avoid(worker, "orders get no answer", now)
+            }
+        }
+    }
+
     private fun avoid(
         worker: WorkerEntry,
         reason: String,
@@ -78,5 +102,8 @@
     private companion object {
         // A single failure is weak evidence: about one run in five hundred fails for reasons of its own.
         const val FAILURES_TO_AVOID = 2
+
+        // Single answers are lost, and a reset closes every connection once.
+        const val UNANSWERED_ROUNDS_TO_AVOID = 3
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/JobsConfiguration.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/model/JobsConfiguration.kt
@@ -86,11 +86,13 @@
  *
  * @property enforcesCapacity whether its workers reject tasks that exceed their free capacity.
  * @property isStandby whether its machines are off until they move to another pool.
+ * @property connectionLimit connections that each of its workers accepts from all callers together; 0 if not known.
  */
 public data class ServiceConfiguration(
     val name: String,
     val enforcesCapacity: Boolean,
     val isStandby: Boolean,
+    val connectionLimit: Long = 0,
 )
 
 /**
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -17,6 +17,7 @@
 import org.verbenagauge.entry.jobs.ports.OrderOutcome
 import org.verbenagauge.entry.jobs.ports.PlacementAdvisor
 import org.verbenagauge.entry.jobs.ports.RowStore
+import org.verbenagauge.entry.jobs.ports.StartOrder
 import org.verbenagauge.entry.jobs.ports.WorkerAddress
 import org.verbenagauge.entry.jobs.ports.WorkerGateway
 import org.verbenagauge.entry.jobs.ports.WorkerList
@@ -56,6 +57,7 @@
     private val drivers = HashMap<String, WorkerDriver>()
     private val endReason = CompletableDeferred<String>()
     private val writer = OwnerWriter(lease, engine, clock, settings, cleaner, progressRows)
+    private val lanes = OrderLanes(ports.workers, clock, engine::connectionLimitOf)
     private val unansweredOrders = UnansweredOrderLog(log)
     private var releaseRequested = false
 
@@ -116,6 +118,7 @@
             tasks.cancel()
             drivers.values.forEach { it.close() }
             tasks.join()
+            lanes.close()
             // The next owner relies on it that no order is sent after the release.
             if (releaseRequested) {
                 lease.release(engine.rosterForNextOwner().map(::rosterRow))
@@ -155,7 +158,10 @@
             if (now - fullDecisionAtMillis >= FULL_DECISION_INTERVAL_MILLIS) {
                 fullDecisionAtMillis = now
                 engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
+                // A driver that has nothing to list waits and does not see that its worker is gone.
+                drivers.values.filter { it.isObsolete }.forEach { it.close() }
                 drivers.values.removeIf { it.isClosed }
+                lanes.closeUnused(drivers.values.mapTo(HashSet()) { it.address })
                 unansweredOrders.retain(drivers.keys)
             } else {
                 engine.react(now).forEach { execute(scope, it) }
@@ -187,33 +193,35 @@
 
     private suspend fun start(action: EngineAction.Start) {
         val sentAtMillis = clock.monotonicMillis()
-        val outcome =
-            when {
-                !writer.isLeaseValid() -> leaseUncertain
-                engine.isEvacuated(action.address.workerId) -> zoneEvacuated
-                !engine.mayGrant(action.address.workerId) -> workerSilent
-                else -> ports.workers.start(action.address, action.order).also { logIfUnanswered(action.address, it) }
-            }
-        if (outcome is OrderOutcome.Unanswered || outcome is OrderOutcome.NotSent) delay(ORDER_RETRY_MILLIS)
         val workerId = action.address.workerId
+        val outcome =
+            send(action.address, {
+                whyStartIsWithheld(workerId, action.order)
+            }) { ports.workers.start(action.address, action.order) }
+        if (outcome !is OrderOutcome.Done && outcome !is OrderOutcome.Refused) delay(ORDER_RETRY_MILLIS)
         val isOwner = engine.handleStartOutcome(workerId, action.order, outcome, clock.monotonicMillis(), sentAtMillis)
         endIfFenced(isOwner, workerId)
         wake()
     }
 
-    private fun logIfUnanswered(
-        address: WorkerAddress,
-        outcome: OrderOutcome,
-    ) {
-        unansweredOrders.record(address.workerId, outcome, clock.monotonicMillis())
-    }
+    private fun whyStartIsWithheld(
+        workerId: String,
+        order: StartOrder,
+    ): OrderOutcome.Withheld? =
+        when {
+            !engine.isStartDue(workerId, order) -> notDue
+            !writer.isLeaseValid() -> leaseUncertain
+            engine.isEvacuated(workerId) -> zoneEvacuated
+            !engine.mayGrant(workerId) -> workerSilent
+            else -> null
+        }
 
     private suspend fun stop(action: EngineAction.Stop) {
-        val epoch = engine.state.epoch
-        if (!writer.isLeaseValid()) return
         val sentAtMillis = clock.monotonicMillis()
-        val outcome = ports.workers.stop(action.address, action.taskId, action.runId, epoch)
-        logIfUnanswered(action.address, outcome)
+        val outcome =
+            send(action.address, ::whyOrderIsWithheld) {
+                ports.workers.stop(action.address, action.taskId, action.runId, engine.state.epoch)
+            }
         val now = clock.monotonicMillis()
         val workerId = action.address.workerId
         endIfFenced(
@@ -223,9 +231,21 @@
     }
 
     private suspend fun pace(action: EngineAction.Pace) {
-        val epoch = engine.state.epoch
-        if (!writer.isLeaseValid()) return
-        ports.workers.pace(action.address, action.taskId, action.runId, action.percentage, epoch)
+        send(action.address, ::whyOrderIsWithheld) {
+            ports.workers.pace(action.address, action.taskId, action.runId, action.percentage, engine.state.epoch)
+        }
+    }
+
+    private fun whyOrderIsWithheld(): OrderOutcome.Withheld? = leaseUncertain.takeIf { !writer.isLeaseValid() }
+
+    private suspend fun send(
+        address: WorkerAddress,
+        withhold: () -> OrderOutcome.Withheld?,
+        order: suspend () -> OrderOutcome,
+    ): OrderOutcome {
+        val outcome = lanes.laneOf(address).send(withhold, order)
+        unansweredOrders.record(address.workerId, outcome, clock.monotonicMillis())
+        return outcome
     }
 
     private suspend fun advise(action: EngineAction.AskAdvice) {
@@ -261,9 +281,10 @@
     }
 
     private companion object {
-        val leaseUncertain = OrderOutcome.NotSent("the owner's lease may have expired")
-        val zoneEvacuated = OrderOutcome.NotSent("the worker's zone is evacuated")
-        val workerSilent = OrderOutcome.NotSent("the worker is silent, and the end of its leases is stored")
+        val notDue = OrderOutcome.Withheld("its run is no longer to start")
+        val leaseUncertain = OrderOutcome.Withheld("the owner's lease may have expired")
+        val zoneEvacuated = OrderOutcome.Withheld("the worker's zone is evacuated")
+        val workerSilent = OrderOutcome.Withheld("the worker is silent, and the end of its leases is stored")
         const val TICK_MILLIS = 100L
 
         // State that changes with time alone changes in steps of tenths of a second.
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/UnansweredOrderLog.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/UnansweredOrderLog.kt
@@ -20,7 +20,7 @@
             when (outcome) {
                 is OrderOutcome.Unanswered -> outcome.cause
                 is OrderOutcome.NotSent -> outcome.cause
-                is OrderOutcome.Done, is OrderOutcome.Refused -> return
+                is OrderOutcome.Done, is OrderOutcome.Refused, is OrderOutcome.Withheld -> return
             }
         val report = reports.getOrPut(workerId) { Report() }
         report.orderCount++
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/WorkerDriver.kt
@@ -29,6 +29,13 @@
     var isClosed = false
         private set
 
+    /** Whether the worker is gone or has another address. */
+    val isObsolete: Boolean
+        get() =
+            engine.state.workers[workerId]
+                ?.listed
+                ?.address != address
+
     /** Signals that there may be leases to renew or runs to list. */
     fun wake() {
         signal.trySend(Unit)
@@ -46,7 +53,7 @@
         writer: OwnerWriter,
         onListed: () -> Unit,
     ) {
-        while (!isClosed && !isFenced && isStillListed()) {
+        while (!isClosed && !isFenced && !isObsolete) {
             // Checked before the renewal is created, since a created renewal counts as sent.
             if (!writer.isLeaseValid()) {
                 delay(FAILURE_RETRY_MILLIS)
@@ -66,11 +73,6 @@
         close()
     }
 
-    private fun isStillListed(): Boolean =
-        engine.state.workers[workerId]
-            ?.listed
-            ?.address == address
-
     private suspend fun pauseAfter(
         outcome: ListingOutcome,
         writer: OwnerWriter,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/WorkerGateway.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/ports/WorkerGateway.kt
@@ -82,6 +82,11 @@
     public data class NotSent(
         val cause: String,
     ) : OrderOutcome
+
+    /** The owner did not try to send the order, because of [cause]; says nothing about the worker. */
+    public data class Withheld(
+        val cause: String,
+    ) : OrderOutcome
 }
 
 /** How a run ended. */
@@ -218,6 +223,12 @@
         percentage: Int,
         fencingToken: Long,
     ): OrderOutcome
+
+    /** Closes the connections that orders to [address] have used; a later order opens a new one. */
+    public fun disconnect(address: WorkerAddress)
+
+    /** Closes connections that no order has used for a while. */
+    public fun closeIdleConnections()
 }
 
 /** Listings of one worker over a dedicated connection. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpPool.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/http/HttpPool.kt
@@ -12,33 +12,37 @@
     private val observer: ConnectionObserver = UnobservedConnections,
 ) {
     private val idle = ArrayDeque<IdleConnection>()
+    private var isClosed = false
 
     /** Sends [call] over a free connection or a new one. */
     suspend fun exchange(
         call: HttpCall,
         timeoutMillis: Long,
     ): HttpOutcome {
-        val connection = takeIdle() ?: HttpConnection(selector, host, port, observer)
+        closeIdle()
+        val connection = idle.removeLastOrNull()?.connection ?: HttpConnection(selector, host, port, observer)
         val wasProven = connection.isProven
         val outcome = connection.exchange(call, timeoutMillis)
         // A peer may close an idle connection at any time; other idle ones are likely to be dead as well.
-        if (outcome !is HttpOutcome.Answered && wasProven) close()
+        if (outcome !is HttpOutcome.Answered && wasProven) closeAllIdle()
+        if (isClosed) connection.close()
         if (connection.isOpen) idle.addLast(IdleConnection(connection, clock.monotonicMillis()))
         return outcome
     }
 
-    private fun takeIdle(): HttpConnection? {
+    /** Closes the connections that have been idle for ten seconds. */
+    fun closeIdle() {
         val oldest = clock.monotonicMillis() - MAX_IDLE_MILLIS
-        while (idle.isNotEmpty()) {
-            val last = idle.removeLast()
-            if (last.sinceMillis >= oldest) return last.connection
-            last.connection.close()
-        }
-        return null
+        while (idle.isNotEmpty() && idle.first().sinceMillis < oldest) idle.removeFirst().connection.close()
     }
 
-    /** Closes all idle connections. */
+    /** Closes all connections; those that carry a request are closed after it. */
     fun close() {
+        isClosed = true
+        closeAllIdle()
+    }
+
+    private fun closeAllIdle() {
         idle.forEach { it.connection.close() }
         idle.clear()
     }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformAdvisor.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformAdvisor.kt
@@ -18,6 +18,9 @@
 ) : PlacementAdvisor {
     private val pool = HttpPool(selector, address.host, address.port, clock)
 
+    /** Closes connections that have been idle for a while. */
+    fun closeIdleConnections() = pool.closeIdle()
+
     override suspend fun ticketsFor(
         step: String,
         workerIds: List<String>,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformDocuments.kt
@@ -45,6 +45,7 @@
                         it.name,
                         it.enforcesCapacity,
                         it.standby,
+                        it.connectionLimit,
                     )
             },
         teams = wire.tenants.associate { it.name to team(it) },
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformEntry.kt
@@ -81,6 +81,9 @@
         peerAddress?.let {
             EntryDirectory(store, clock, PeerAddress(it.host, it.port, settings.entry.id), settings.limits.cores, log)
         }
+    private val machines =
+        parseHostPort(settings.platform.machines)?.let { PlatformMachines(settings.entry.id, selector, it, clock) }
+    private val advisor = parseHostPort(settings.platform.advisor)?.let { PlatformAdvisor(selector, it, clock) }
     private val jobs =
         JobRuntime(
             entryId = settings.entry.id,
@@ -89,9 +92,9 @@
                     store = store,
                     workers = PlatformWorkers(selector, clock, metrics),
                     workerList = PlatformWorkerList(store, log),
-                    advisor = parseHostPort(settings.platform.advisor)?.let { PlatformAdvisor(selector, it, clock) },
+                    advisor = advisor,
                 ),
-            waves = parseHostPort(settings.platform.machines)?.let(::wavePorts),
+            waves = machines?.let(::wavePorts),
             clock = clock,
             log = log,
             metrics = metrics,
@@ -115,6 +118,7 @@
         System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false")
         scope.launch { supervise(child("operator documents", documents::run), log) }
         jobs.start(scope)
+        scope.launch { closeIdleConnections() }
         directory?.let { scope.launch { connectPeers(it) } }
         callerServer.start(wait = false)
         readinessServer.start(wait = false)
@@ -163,6 +167,16 @@
         scope.launch { supervise(child("settings watch", watch::run), log) }
     }
 
+    // A burst of calls leaves connections behind that nothing uses afterwards.
+    private suspend fun closeIdleConnections() {
+        while (true) {
+            delay(IDLE_CHECK_INTERVAL_MILLIS)
+            link.closeIdleConnections()
+            machines?.closeIdleConnections()
+            advisor?.closeIdleConnections()
+        }
+    }
+
     private suspend fun connectPeers(directory: EntryDirectory) {
         val address = checkNotNull(peerAddress) { "listeners.peers is not set" }
         scope.launch { supervise(child("entry directory", directory::run), log) }
@@ -175,9 +189,9 @@
         supervise(child("peers", network::run), log)
     }
 
-    private fun wavePorts(address: HostPort) =
+    private fun wavePorts(machines: PlatformMachines) =
         WavePorts(
-            machines = PlatformMachines(settings.entry.id, selector, address, clock),
+            machines = machines,
             store = store,
             reports = platformWaveReports,
             waves = { waves.requested },
@@ -211,6 +225,7 @@
         const val GRACE_MILLIS = 200L
         const val TIMEOUT_MILLIS = 1_000L
         const val READY_SILENCE_MILLIS = 2_500L
+        const val IDLE_CHECK_INTERVAL_MILLIS = 2_000L
 
         // The first frames name the place.
         const val MOST_TRACE_CHARS = 1_500
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformMachines.kt
@@ -37,6 +37,9 @@
 ) : MachineGateway {
     private val pool = HttpPool(selector, address.host, address.port, clock)
 
+    /** Closes connections that have been idle for a while. */
+    fun closeIdleConnections() = pool.closeIdle()
+
     override suspend fun list(): List<Machine>? {
         val machines = ArrayList<Machine>()
         var token: String? = null
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformWorkers.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/PlatformWorkers.kt
@@ -75,6 +75,14 @@
         return order(address, "/v1/pace", WirePace.serializer(), wire)
     }
 
+    override fun disconnect(address: WorkerAddress) {
+        pools.remove(address)?.close()
+    }
+
+    override fun closeIdleConnections() {
+        pools.values.forEach { it.closeIdle() }
+    }
+
     private suspend fun <T> order(
         address: WorkerAddress,
         path: String,
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/StoreLink.kt
@@ -67,6 +67,9 @@
         return listOfNotNull(earlier, other).fold(outcome, ::worse)
     }
 
+    /** Closes connections that have been idle for a while. */
+    fun closeIdleConnections() = pool.closeIdle()
+
     /** Opens a connection of its own. */
     fun connection() = HttpConnection(selector, address.host, address.port)
 
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/platform/WireShapes.kt
@@ -63,6 +63,8 @@
     @SerialName("Name") val name: String,
     @SerialName("EnforcesCapacity") val enforcesCapacity: Boolean = false,
     @SerialName("Standby") val standby: Boolean = false,
+    // Connections that each of its workers accepts from all callers together.
+    @SerialName("ConnectionLimit") val connectionLimit: Long = 0,
 )
 
 /** A tenant. */
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/UnknownGaugeToldAsZeroTest.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/UnknownGaugeToldAsZeroTest.kt
@@ -53,6 +53,10 @@
         fencingToken: Long,
     ): OrderOutcome = error("no workers")
 
+    override fun disconnect(address: WorkerAddress) = Unit
+
+    override fun closeIdleConnections() = Unit
+
     override suspend fun follow(
         onAll: (List<ListedWorker>) -> Unit,
         onChange: (workerId: String, worker: ListedWorker?) -> Unit,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/EntryWorkers.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/EntryWorkers.kt
@@ -63,6 +63,10 @@
         fencingToken: Long,
     ): OrderOutcome = OrderOutcome.Done(0)
 
+    override fun disconnect(address: WorkerAddress) = Unit
+
+    override fun closeIdleConnections() = Unit
+
     private suspend fun order(
         address: WorkerAddress,
         action: (WorkerIncarnation) -> OrderOutcome,
--- a/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/SingleWorker.kt
+++ b/verbenagauge/src/test/kotlin/org/verbenagauge/entry/jobs/owner/SingleWorker.kt
@@ -65,4 +65,8 @@
         percentage: Int,
         fencingToken: Long,
     ): OrderOutcome = OrderOutcome.Done(1_000)
+
+    override fun disconnect(address: WorkerAddress) = Unit
+
+    override fun closeIdleConnections() = Unit
 }
