--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -95,7 +95,7 @@
         val isUnread = state.isUnreadJob(id.jobId)
         if (isUnread) state.endsOfUnreadJobs.add(EndOfUnreadJob(worker.id, worker.bornUnixMillis, end, now))
         val task = taskOf(id, now)
-        if (end.kind != EndKind.DONE) {
+        if (end.kind != EndKind.DONE || task?.step?.specification?.isLasting == true) {
             state.note(NoteKind.RUN_ENDED, id.toString(), "run ${end.runId} on ${worker.id}: ${end.kind}")
         }
         if (run != null) runs.markGone(run, "ended ${end.kind}", now)
