A lasting task starts again however its run ends

Cause: the reader of ends took done for complete whatever the step, as did progress read from the store.

Fix: one place tells whether an end completes a task, and the only place that marks a task as done refuses lasting ones, so that rows of the old release that name them done are read as not done. Lasting tasks whose runs end at once, as done or failed, start again after a pause that grows to 2 s.

--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobBook.kt
@@ -5,6 +5,7 @@
 import org.verbenagauge.entry.jobs.model.QueueConfiguration
 import org.verbenagauge.entry.jobs.model.StepSpecification
 import org.verbenagauge.entry.jobs.model.TaskId
+import org.verbenagauge.entry.jobs.ports.EndKind
 import org.verbenagauge.entry.jobs.records.JobRecord
 import org.verbenagauge.entry.jobs.records.ProgressRecord
 import org.verbenagauge.entry.jobs.records.TaskNumbers
@@ -13,7 +14,7 @@
 
 /** Scheduling state of one task. */
 internal enum class TaskPhase {
-    /** Waits for steps that it depends on. */
+    /** Waits for steps that it depends on, or, if it lasts, for the end of a pause after short runs. */
     BLOCKED,
 
     /** May start. */
@@ -57,6 +58,15 @@
     private class Failures {
         val runIds = sortedSetOf<Long>()
         val workerIds = HashSet<String>()
+        var shortRuns = 0
+    }
+
+    /** Number of its last runs in a row that ended soon after their start. */
+    val shortRuns: Int get() = failures?.shortRuns ?: 0
+
+    /** Records whether its last run has ended soon after its start. */
+    fun recordLifetime(isShort: Boolean) {
+        if (isShort || failures != null) failures().shortRuns = if (isShort) shortRuns + 1 else 0
     }
 
     /** Run numbers of the failed runs, in ascending order. */
@@ -311,6 +321,9 @@
  */
 internal val StepSpecification.demand: Amount get() = if (isFiller) amount.copy(cpuMillis = Long.MIN_VALUE) else amount
 
+/** Whether a run that ends as [kind] completes its task. A lasting task starts again however its run ends. */
+internal fun StepSpecification.isCompletedBy(kind: EndKind): Boolean = kind == EndKind.DONE && !isLasting
+
 /** State of one run on its worker. */
 internal enum class RunPhase {
     /** Ordered but not confirmed; it may or may not be running. */
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobEngine.kt
@@ -47,7 +47,8 @@
     private val workers = WorkerRemover(state, runs)
     private val answers = OrderOutcomeHandler(state, runs, health, workers)
     private val doubts = SuspectJobs(state)
-    private val listings = ListingReader(state, registry, runs, health, doubts)
+    private val lastingRestarts = LastingRestarts(state)
+    private val listings = ListingReader(state, registry, runs, health, doubts, lastingRestarts)
     private val earlierRuns = EarlierRuns(state)
     private val waits = StartWaits(state)
     private val unreached = UnreachedJobs(state)
@@ -482,6 +483,7 @@
         unixMillis: Long,
     ): List<EngineAction> {
         registry.openDue(unixMillis, now)
+        lastingRestarts.releaseDue(now)
         dropLapsed(now)
         listings.stopOrphanedRuns(now)
         runs.repeatStops(now)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/JobRegistry.kt
@@ -152,6 +152,7 @@
         job: JobEntry,
         progress: ProgressRecord,
     ) {
+        if (job.isLasting) return
         job.doneOccurrences.or(BitSet.valueOf(progress.doneOccurrenceWords.toLongArray()))
         progress.doneTasks
             .filter { '.' !in it }
@@ -200,7 +201,8 @@
     }
 
     private fun markDone(task: TaskEntry) {
-        if (task.phase == TaskPhase.DONE) return
+        // Also read from rows of releases that took a lasting task that ended as done for complete.
+        if (task.phase == TaskPhase.DONE || task.step.specification.isLasting) return
         task.phase = TaskPhase.DONE
         task.step.doneCount++
         state.pressure.done(task)
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/engine/ListingReader.kt
@@ -15,6 +15,7 @@
     private val runs: RunTracker,
     private val health: WorkerHealth,
     private val suspectJobs: SuspectJobs,
+    private val lastingRestarts: LastingRestarts,
 ) {
     /** Applies [listing], which [worker] returned for a request sent at [sentAtMillis]. */
     fun read(
@@ -101,9 +102,14 @@
         if (run != null) runs.markGone(run, "ended ${end.kind}", now)
         if (task == null) return
         runs.recordStart(task.job)
-        if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
-        when (end.kind) {
-            EndKind.DONE -> {
+        val step = task.step.specification
+        when {
+            // Nothing is left to resume of a run that is done.
+            step.isLasting && end.kind == EndKind.DONE -> task.checkpoint = ""
+            end.checkpoint.isNotEmpty() -> task.checkpoint = end.checkpoint
+        }
+        when {
+            step.isCompletedBy(end.kind) -> {
                 noteDuplicateRun(task, end, worker)
                 health.recordSuccess(worker)
                 suspectJobs.recordCompletion(task, worker, now)
@@ -111,14 +117,16 @@
                     recordRunTime(worker, task, run, now)
                 }
                 // Members of a gang complete together, so one such end completes all of them.
-                val done = if (task.step.specification.isGang) task.step.tasks else listOf(task)
+                val done = if (step.isGang) task.step.tasks else listOf(task)
                 done.forEach { finish(it, now) }
             }
 
-            EndKind.FAILED -> fail(worker, task, end.runId, now)
+            end.kind == EndKind.FAILED -> fail(worker, task, end.runId, now)
 
             else -> state.markChanged(task.job)
         }
+        val hasEndedByItself = end.kind == EndKind.DONE || end.kind == EndKind.FAILED
+        if (run != null && hasEndedByItself) lastingRestarts.recordEnd(task, run, now)
     }
 
     private fun fail(
