--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OrderLanes.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OrderLanes.kt
@@ -15,7 +15,6 @@
     private val connectionLimitOf: (workerId: String) -> Long,
 ) {
     private val lanes = HashMap<WorkerAddress, OrderLane>()
-    private var idleCheckAtMillis = Long.MIN_VALUE / 2
 
     /** Returns the lane of the worker at [address]. */
     fun laneOf(address: WorkerAddress): OrderLane = lanes.getOrPut(address) { OrderLane(clock, concurrency(address)) }
@@ -35,9 +34,6 @@
                 lanes.remove(address)
                 workers.disconnect(address)
             }
-        val now = clock.monotonicMillis()
-        if (now - idleCheckAtMillis < IDLE_CHECK_INTERVAL_MILLIS) return
-        idleCheckAtMillis = now
         workers.closeIdleConnections()
     }
 
@@ -53,6 +49,5 @@
 
         // Entries that may hold connections to a worker at the same time: the owner, and earlier ones that are suspended.
         const val ENTRIES_PER_WORKER = 16
-        const val IDLE_CHECK_INTERVAL_MILLIS = 1_000L
     }
 }
--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OwnerTerm.kt
@@ -59,6 +59,7 @@
     private val writer = OwnerWriter(lease, engine, clock, settings, cleaner, progressRows)
     private val lanes = OrderLanes(ports.workers, clock, engine::connectionLimitOf)
     private val unansweredOrders = UnansweredOrderLog(log)
+    private var unusedCheckAtMillis = Long.MIN_VALUE / 2
     private var releaseRequested = false
 
     /** Latency of the decisions of this term. */
@@ -78,6 +79,13 @@
 
     /** Runs until ownership is lost or released; returns the reason. */
     suspend fun run(): String =
+        try {
+            runParts()
+        } finally {
+            closeConnections()
+        }
+
+    private suspend fun runParts(): String =
         coroutineScope {
             val tasks =
                 launch {
@@ -116,9 +124,8 @@
                 }
             val reason = endReason.await()
             tasks.cancel()
-            drivers.values.forEach { it.close() }
+            closeConnections()
             tasks.join()
-            lanes.close()
             // The next owner relies on it that no order is sent after the release.
             if (releaseRequested) {
                 lease.release(engine.rosterForNextOwner().map(::rosterRow))
@@ -126,6 +133,11 @@
             reason
         }
 
+    private fun closeConnections() {
+        drivers.values.forEach { it.close() }
+        lanes.close()
+    }
+
     private fun waveRunner(
         waves: WavePorts,
         cache: MachineListCache,
@@ -158,11 +170,8 @@
             if (now - fullDecisionAtMillis >= FULL_DECISION_INTERVAL_MILLIS) {
                 fullDecisionAtMillis = now
                 engine.decide(now, clock.wallMillis()).forEach { execute(scope, it) }
-                // A driver that has nothing to list waits and does not see that its worker is gone.
-                drivers.values.filter { it.isObsolete }.forEach { it.close() }
                 drivers.values.removeIf { it.isClosed }
-                lanes.closeUnused(drivers.values.mapTo(HashSet()) { it.address })
-                unansweredOrders.retain(drivers.keys)
+                closeUnusedConnections(now)
             } else {
                 engine.react(now).forEach { execute(scope, it) }
             }
@@ -176,6 +185,16 @@
         }
     }
 
+    private fun closeUnusedConnections(now: Long) {
+        if (now - unusedCheckAtMillis < UNUSED_CHECK_INTERVAL_MILLIS) return
+        unusedCheckAtMillis = now
+        // A driver that has nothing to list waits and does not see that its worker is gone.
+        drivers.values.filter { it.isObsolete }.forEach { it.close() }
+        drivers.values.removeIf { it.isClosed }
+        lanes.closeUnused(drivers.values.mapTo(HashSet()) { it.address })
+        unansweredOrders.retain(drivers.keys)
+    }
+
     private fun execute(
         scope: CoroutineScope,
         action: EngineAction,
@@ -297,5 +316,6 @@
         // Leaves most of the processor time to answers and orders.
         const val IDLE_RATIO = 4L
         const val ORDER_RETRY_MILLIS = 80L
+        const val UNUSED_CHECK_INTERVAL_MILLIS = 1_000L
     }
 }
