--- a/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OrderLane.kt
+++ b/verbenagauge/src/main/kotlin/org/verbenagauge/entry/jobs/owner/OrderLane.kt
@@ -9,8 +9,8 @@
 
 /**
  * Sends the orders to one worker. A worker takes a limited number of connections from all entries together, and an entry
- * that is suspended keeps its own, so only some orders are in flight at the same time. After orders
- * without an answer the next ones go out one at a time and are delayed, by up to [MAX_PAUSE_MILLIS].
+ * that is suspended keeps its own, so only some orders are in flight at the same time. After orders without an answer the
+ * next ones go out one at a time and are delayed, by up to [MAX_PAUSE_MILLIS].
  *
  * @param concurrency number of orders in flight at the same time.
  */
